Serve a call end to end between separate processes

Cause: the design needs one path in its shape before the parts are built out. Change: log and backend stand-ins, log client, settings, telemetry, an agent that folds the log and builds generations, front and guard proxies, goldcrestd and goldcrestctl (init, publish, retire, list, check, dev), and a process test that publishes, calls, revises and retires. Conclusion: the path stands; peers, limits, retries and recovery come next.

--- /dev/null
+++ b/cmd/goldcrestctl/dev.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"github.com/spf13/cobra"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/operator"
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/standin"
+)
+
+func newDevCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "dev", Short: "Run stand-ins of the platform, for trials"}
+	cmd.AddCommand(newDevLogCommand(), newDevBackendCommand())
+	return cmd
+}
+
+func newDevLogCommand() *cobra.Command {
+	var listen string
+	var retention time.Duration
+	cmd := &cobra.Command{
+		Use: "log", Short: "Run a stand-in of the platform's log with an empty configuration", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return serveStandin(cmd, listen, standin.NewLog(retention, time.Now).Handler(), func(ctx context.Context, address string) error {
+				return operator.NewClient(platformlog.NewClient(address, nil), "dev", time.Now).Init(ctx)
+			})
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7100", "address to listen on, ip:port")
+	cmd.Flags().DurationVar(&retention, "retention", time.Hour, "how long records are kept")
+	return cmd
+}
+
+func newDevBackendCommand() *cobra.Command {
+	var listen, service string
+	var slots int
+	var serviceTime time.Duration
+	cmd := &cobra.Command{
+		Use: "backend", Short: "Run a stand-in of a backend server", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			b := standin.NewBackend(service+"@"+listen, slots, serviceTime)
+			return serveStandin(cmd, listen, b.Handler(), func(context.Context, string) error { return nil })
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7200", "address to listen on, ip:port")
+	cmd.Flags().StringVar(&service, "service", "", "service that the backend server belongs to")
+	cmd.Flags().IntVar(&slots, "slots", 18, "calls run at once")
+	cmd.Flags().DurationVar(&serviceTime, "service-time", 5*time.Millisecond, "time that a call takes")
+	return cmd
+}
+
+// serveStandin serves until a signal and prints its address once it is ready.
+func serveStandin(cmd *cobra.Command, listen string, h http.Handler, ready func(ctx context.Context, address string) error) error {
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	ctx, cancel := context.WithCancel(cmd.Context())
+	defer cancel()
+	var g run.Group
+	g.Add(func() error { return srv.Serve(ln) }, func(error) { _ = srv.Close() })
+	g.Add(func() error {
+		if err := ready(ctx, ln.Addr().String()); err != nil {
+			return err
+		}
+		fmt.Fprintf(cmd.OutOrStdout(), "listening on %s\n", ln.Addr())
+		<-ctx.Done()
+		return nil
+	}, func(error) { cancel() })
+	g.Add(run.SignalHandler(ctx, syscall.SIGTERM, syscall.SIGINT))
+	err = g.Run()
+	if errors.Is(err, run.ErrSignal) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/goldcrestd/main.go
@@ -0,0 +1,95 @@
+// Command goldcrestd is the node that runs beside a backend server.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"github.com/spf13/cobra"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/finding"
+	"github.com/goldcrestshed/goldcrestshed/internal/node"
+	"github.com/goldcrestshed/goldcrestshed/internal/settings"
+	"github.com/goldcrestshed/goldcrestshed/internal/telemetry"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitBadInput = 2
+)
+
+func main() {
+	if err := newCommand().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var found finding.List
+	if errors.As(err, &found) {
+		return exitBadInput
+	}
+	return exitFailed
+}
+
+func newCommand() *cobra.Command {
+	var file string
+	root := &cobra.Command{
+		Use: "goldcrestd --settings FILE", Short: "Run a node beside a backend server",
+		SilenceErrors: true, SilenceUsage: true, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return runNode(cmd.Context(), file) },
+	}
+	root.PersistentFlags().StringVar(&file, "settings", "goldcrestd.json", "settings file, JSON with comments")
+	root.AddCommand(&cobra.Command{
+		Use: "check", Short: "Check the settings and exit", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			_, err := settings.Load(file)
+			return err
+		},
+	})
+	return root
+}
+
+func runNode(ctx context.Context, file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	logger := telemetry.NewLogger(os.Stderr, s.Logging)
+	n, err := node.New(s, logger)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var g run.Group
+	g.Add(func() error { return n.Run(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return dumpOnSignal(ctx, n) }, func(error) { cancel() })
+	g.Add(run.SignalHandler(ctx, syscall.SIGTERM, syscall.SIGINT))
+	err = g.Run()
+	if errors.Is(err, run.ErrSignal) {
+		return nil
+	}
+	return err
+}
+
+func dumpOnSignal(ctx context.Context, n *node.Node) error {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGUSR1)
+	defer signal.Stop(c)
+	for {
+		select {
+		case <-c:
+			_ = n.WriteDump(os.Stderr)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/e2e/process_test.go
@@ -0,0 +1,213 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/node"
+	"github.com/goldcrestshed/goldcrestshed/internal/standin"
+)
+
+// binaries builds both binaries once per test run.
+var binaries = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "goldcrest-bin")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir+"/", "github.com/goldcrestshed/goldcrestshed/cmd/...").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return dir, nil
+})
+
+// process is a running binary whose lines on one output are kept.
+type process struct {
+	cmd   *exec.Cmd
+	lines chan string
+}
+
+func start(t *testing.T, stderr bool, name string, args ...string) *process {
+	t.Helper()
+	dir, err := binaries()
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	p := &process{cmd: exec.CommandContext(ctx, filepath.Join(dir, name), args...), lines: make(chan string, 1024)}
+	pipe, err := p.cmd.StdoutPipe()
+	if stderr {
+		pipe, err = p.cmd.StderrPipe()
+	}
+	assert.NilError(t, err)
+	assert.NilError(t, p.cmd.Start())
+	go func() {
+		defer close(p.lines)
+		for s := bufio.NewScanner(pipe); s.Scan(); {
+			select {
+			case p.lines <- s.Text():
+			default: // the test reads the first lines only
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+		cancel()
+	})
+	return p
+}
+
+// await returns the first line that has a text.
+func (p *process) await(t *testing.T, text string) string {
+	t.Helper()
+	limit := time.After(30 * time.Second)
+	for {
+		select {
+		case line, ok := <-p.lines:
+			assert.Assert(t, ok, "%s ended before %q", p.cmd.Path, text)
+			if strings.Contains(line, text) {
+				return line
+			}
+		case <-limit:
+			t.Fatalf("no line with %q from %s", text, p.cmd.Path)
+		}
+	}
+}
+
+func listeningOn(t *testing.T, p *process) string {
+	return strings.TrimPrefix(p.await(t, "listening on "), "listening on ")
+}
+
+type startedNode struct {
+	*process
+	Calls string `json:"calls"`
+	Admin string `json:"admin"`
+}
+
+func startNode(t *testing.T, id, service, log, backend string) *startedNode {
+	t.Helper()
+	text := fmt.Sprintf(`{
+		// written by the test
+		"node": {"id": %q, "service": %q, "region": "gaucho", "failureDomain": "poa-a"},
+		"listen": {"calls": "127.0.0.1:0", "guard": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0"},
+		"backendServer": {"address": %q},
+		"log": {"address": %q},
+		"logging": {"format": "json"},
+	}`, id, service, backend, log)
+	file := filepath.Join(t.TempDir(), "settings.json")
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	n := &startedNode{process: start(t, true, "goldcrestd", "--settings", file)}
+	assert.NilError(t, json.Unmarshal([]byte(n.await(t, "node_started")), n))
+	return n
+}
+
+func ctl(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+	dir, err := binaries()
+	assert.NilError(t, err)
+	out, err := exec.Command(filepath.Join(dir, "goldcrestctl"), args...).CombinedOutput()
+	if exit, ok := err.(*exec.ExitError); ok {
+		return string(out), exit.ExitCode()
+	}
+	assert.NilError(t, err)
+	return string(out), 0
+}
+
+func writeProfile(t *testing.T, service string) string {
+	t.Helper()
+	text := fmt.Sprintf(`[
+		{"kind": "profile", "name": "shop", "routes": [{"name": "all", "host": "shop.example", "service": %q}]},
+		{"kind": "selection", "service": "vitrine", "profile": "shop"},
+		{"kind": "selection", "service": "agenda", "profile": "shop"},
+	]`, service)
+	file := filepath.Join(t.TempDir(), "shop.json")
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+// call sends a call for shop.example through a node.
+func call(t *testing.T, method, address, body string) (int, standin.Answer, http.Header) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+address+"/offers", strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Host = "shop.example"
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	var a standin.Answer
+	_ = json.NewDecoder(bytes.NewReader(data)).Decode(&a)
+	return resp.StatusCode, a, resp.Header
+}
+
+func status(t *testing.T, n *startedNode) node.Status {
+	resp, err := http.Get("http://" + n.Admin + "/v1/status")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	var s node.Status
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&s))
+	return s
+}
+
+// awaitAnswer waits until calls through every node get the wanted status and,
+// unless empty, come from the wanted service.
+func awaitAnswer(t *testing.T, nodes []*startedNode, wantStatus int, wantService string) {
+	t.Helper()
+	for _, n := range nodes {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			got, a, _ := call(t, "GET", n.Calls, "")
+			if got == wantStatus && strings.HasPrefix(a.Server, wantService) {
+				return poll.Success()
+			}
+			return poll.Continue("status %d from %q", got, a.Server)
+		}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	}
+}
+
+// TestPathAsProcesses guards against a broken path from publish to answer
+// between separate processes: publish, call, revise, retire.
+func TestPathAsProcesses(t *testing.T) {
+	log := listeningOn(t, start(t, false, "goldcrestctl", "dev", "log", "--listen", "127.0.0.1:0"))
+	var nodes []*startedNode
+	for i, service := range []string{"vitrine", "vitrine", "agenda"} {
+		backend := listeningOn(t, start(t, false, "goldcrestctl", "dev", "backend", "--listen", "127.0.0.1:0", "--service", service))
+		nodes = append(nodes, startNode(t, fmt.Sprintf("n%d", i), service, log, backend))
+	}
+
+	out, code := ctl(t, "publish", "--log", log, writeProfile(t, "vitrine"))
+	assert.Equal(t, code, 0, out)
+	awaitAnswer(t, nodes, http.StatusOK, "vitrine")
+	first := status(t, nodes[0]).Position
+	for _, n := range nodes {
+		got, a, header := call(t, "POST", n.Calls, "six by")
+		assert.Equal(t, got, http.StatusOK)
+		assert.Equal(t, a.Bytes, int64(6))
+		assert.Equal(t, header.Get("Goldcrest-Outcome"), "ran")
+	}
+
+	out, code = ctl(t, "publish", "--log", log, writeProfile(t, "agenda"))
+	assert.Equal(t, code, 0, out)
+	awaitAnswer(t, nodes, http.StatusOK, "agenda")
+	assert.Assert(t, status(t, nodes[0]).Position.Compare(*first) > 0)
+
+	out, code = ctl(t, "retire", "--log", log, "shop")
+	assert.Equal(t, code, 2, "a profile that services select must not be retired: %s", out)
+	out, code = ctl(t, "retire", "--log", log, "shop", "--selections")
+	assert.Equal(t, code, 0, out)
+	awaitAnswer(t, nodes, http.StatusNotFound, "")
+}
--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+)
+
+// Status is one node's answer to a status request.
+type Status struct {
+	ID         string            `json:"id"`
+	Position   *profile.Position `json:"position,omitempty"`
+	Generation uint64            `json:"generation"`
+	Ready      bool              `json:"ready"`
+}
+
+// Status returns the node's own status.
+func (n *Node) Status() Status {
+	s := Status{ID: n.settings.Node.ID, Generation: n.holder.Published()}
+	if g := n.holder.Latest(); g != nil {
+		s.Position, s.Ready = &g.Position, true
+	}
+	return s
+}
+
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET /readyz", n.serveReady)
+	mux.Handle("GET /metrics", n.metrics.Handler)
+	mux.Handle("GET /dump", n.dump)
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(n.Status())
+	})
+	return mux
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.Status().Ready {
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+func (n *Node) registerDumps() {
+	n.dump.Register("status", func() any { return n.Status() })
+	n.dump.Register("members", func() any { return n.table.All() })
+	n.dump.Register("config", func() any { return n.agent.State() })
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,150 @@
+// Package node assembles one node from its parts.
+package node
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/distribution"
+	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/settings"
+	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
+	"github.com/goldcrestshed/goldcrestshed/internal/telemetry"
+)
+
+// Node is one running node.
+type Node struct {
+	settings  settings.Settings
+	logger    *slog.Logger
+	dump      *telemetry.Dumper
+	metrics   *telemetry.Metrics
+	holder    *snapshot.Holder
+	table     *membership.Table
+	agent     *distribution.Agent
+	front     *proxy.Front
+	guard     *proxy.Guard
+	listeners listeners
+	drainNow  chan struct{} // closed by the first Drain
+}
+
+type listeners struct {
+	calls, guard, peer, admin net.Listener
+}
+
+// New binds the node's addresses and assembles its parts.
+func New(s settings.Settings, logger *slog.Logger) (*Node, error) {
+	l, err := listen(s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		settings: s, logger: logger, listeners: l,
+		dump: telemetry.NewDumper(), metrics: telemetry.NewMetrics(),
+		holder: snapshot.NewHolder(), table: membership.NewTable(),
+		drainNow: make(chan struct{}),
+	}
+	log := platformlog.NewClient(s.Log.Address, nil)
+	n.agent = distribution.NewAgent(log, n.self(), n.table, n.holder, logger)
+	n.front = proxy.NewFront(n.holder, newTransport(0), pickRandom)
+	n.guard = proxy.NewGuard(s.BackendServer.Address, newTransport(s.BackendServer.Connections))
+	n.registerDumps()
+	return n, nil
+}
+
+func listen(s settings.Listen) (listeners, error) {
+	var l listeners
+	for _, b := range []struct {
+		address string
+		out     *net.Listener
+	}{{s.Calls, &l.calls}, {s.Guard, &l.guard}, {s.Peer, &l.peer}, {s.Admin, &l.admin}} {
+		ln, err := net.Listen("tcp", b.address)
+		if err != nil {
+			l.close()
+			return listeners{}, errors.Wrap(err, "listen")
+		}
+		*b.out = ln
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, ln := range []net.Listener{l.calls, l.guard, l.peer, l.admin} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+const idleTimeout = 30 * time.Second
+
+func newTransport(maxConns int) *http.Transport {
+	return &http.Transport{
+		MaxConnsPerHost: maxConns, MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	}
+}
+
+func pickRandom(s *snapshot.Service) *snapshot.Endpoint {
+	return s.Endpoints[rand.IntN(len(s.Endpoints))]
+}
+
+func (n *Node) self() membership.Member {
+	return membership.Member{
+		ID: n.settings.Node.ID, Incarnation: time.Now().UnixNano(),
+		Service: n.settings.Node.Service, Region: n.settings.Node.Region, FailureDomain: n.settings.Node.FailureDomain,
+		PeerAddress: n.listeners.peer.Addr().String(), GuardAddress: n.listeners.guard.Addr().String(),
+		Slots: n.settings.BackendServer.Slots, Status: membership.StatusAlive,
+	}
+}
+
+// CallsAddress returns the address for callers.
+func (n *Node) CallsAddress() string { return n.listeners.calls.Addr().String() }
+
+// AdminAddress returns the address of health, metrics, dump and drain.
+func (n *Node) AdminAddress() string { return n.listeners.admin.Addr().String() }
+
+// WriteDump writes the state of every part.
+func (n *Node) WriteDump(w io.Writer) error { return n.dump.Write(w) }
+
+// Run serves until the context ends or a part fails.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer n.metrics.Close()
+	var g run.Group
+	g.Add(func() error { return n.agent.Run(ctx) }, func(error) { cancel() })
+	n.serve(&g, "calls", n.listeners.calls, n.front)
+	n.serve(&g, "guard", n.listeners.guard, n.guard)
+	n.serve(&g, "admin", n.listeners.admin, n.adminHandler())
+	g.Add(func() error { <-ctx.Done(); return nil }, func(error) { cancel() })
+	n.logger.Info("node_started", "node", n.settings.Node.ID, "calls", n.CallsAddress(), "admin", n.AdminAddress())
+	return g.Run()
+}
+
+const shutdownLimit = 5 * time.Second
+
+func (n *Node) serve(g *run.Group, name string, ln net.Listener, h http.Handler) {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, Protocols: &http.Protocols{}}
+	srv.Protocols.SetHTTP1(true)
+	srv.Protocols.SetUnencryptedHTTP2(true)
+	g.Add(func() error {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrapf(err, "serve %s", name)
+		}
+		return nil
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+		defer cancel()
+		_ = srv.Shutdown(ctx)
+	})
+}
--- /dev/null
+++ b/internal/platformlog/client.go
@@ -0,0 +1,150 @@
+package platformlog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxRecordBytes is the largest record that the service takes.
+const MaxRecordBytes = 1 << 20
+
+// AppendResponse is the answer to an append on the wire.
+type AppendResponse struct {
+	Epoch  string `json:"epoch"`
+	Offset int64  `json:"offset"`
+}
+
+// ReadResponse is the answer to a read on the wire.
+type ReadResponse struct {
+	Epoch       string       `json:"epoch"`
+	First       int64        `json:"first"`
+	Next        int64        `json:"next"`
+	RetentionMs int64        `json:"retentionMs"`
+	Records     []WireRecord `json:"records"`
+}
+
+// WireRecord is one record of a ReadResponse.
+type WireRecord struct {
+	Offset int64  `json:"offset"`
+	TimeMs int64  `json:"timeMs"` // Unix time of the append
+	Data   []byte `json:"data"`   // base64 on the wire
+}
+
+// Client speaks the log's HTTP protocol, see section 7 of the design page.
+type Client struct {
+	base string // such as http://127.0.0.1:7100
+	http *http.Client
+}
+
+// appendTimeout bounds one append; the writer looks the record up after it.
+const appendTimeout = 5 * time.Second
+
+// NewClient returns a client of the log at an address (host:port). A nil
+// transport stands for one of its own.
+func NewClient(address string, transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+	}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+}
+
+// Append implements Log.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	// The body cannot be rewound and a connection in hand counts as sent, so
+	// neither the transport nor the caller repeats an append that may stand.
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost,
+		c.base+"/v1/streams/"+stream+"/records", io.NopCloser(bytes.NewReader(data)))
+	if err != nil {
+		return 0, errors.Mark(errors.Wrap(err, "append"), ErrNotApplied)
+	}
+	req.ContentLength = int64(len(data))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, errors.Mark(errors.Wrap(err, "append"), appendOutcome(connected.Load()))
+	}
+	defer drainClose(resp.Body)
+	return decodeAppend(resp)
+}
+
+func appendOutcome(connected bool) error {
+	if connected {
+		return ErrUnknown
+	}
+	return ErrNotApplied
+}
+
+func decodeAppend(resp *http.Response) (int64, error) {
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		var out AppendResponse
+		if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+			return 0, errors.Mark(errors.Wrap(err, "append: read answer"), ErrUnknown)
+		}
+		return out.Offset, nil
+	case resp.StatusCode == http.StatusGatewayTimeout:
+		return 0, errors.Mark(errors.New("append: the service timed out"), ErrUnknown)
+	}
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+	return 0, errors.Mark(errors.Newf("append: status %d: %s", resp.StatusCode, bytes.TrimSpace(text)), ErrNotApplied)
+}
+
+// readGrace is added to the wait of a long poll before a read is given up.
+const readGrace = 5 * time.Second
+
+// Read implements Log.
+func (c *Client) Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+	defer cancel()
+	url := fmt.Sprintf("%s/v1/streams/%s/records?from=%d&max=%d&waitMs=%s", c.base, stream, from, max,
+		strconv.FormatInt(wait.Milliseconds(), 10))
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return Batch{}, errors.Mark(errors.Wrap(err, "read"), ErrUnavailable)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Batch{}, errors.Mark(errors.Wrap(err, "read"), ErrUnavailable)
+	}
+	defer drainClose(resp.Body)
+	return decodeRead(resp, from)
+}
+
+func decodeRead(resp *http.Response, from int64) (Batch, error) {
+	var out ReadResponse
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusGone, http.StatusRequestedRangeNotSatisfiable:
+	default:
+		return Batch{}, errors.Mark(errors.Newf("read: status %d", resp.StatusCode), ErrUnavailable)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return Batch{}, errors.Mark(errors.Wrap(err, "read: decode answer"), ErrUnavailable)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return Batch{}, errors.WithStack(&RangeError{Epoch: out.Epoch, From: from, First: out.First, Next: out.Next})
+	}
+	b := Batch{Epoch: out.Epoch, First: out.First, Next: out.Next, Retention: time.Duration(out.RetentionMs) * time.Millisecond}
+	for _, r := range out.Records {
+		b.Entries = append(b.Entries, Entry{Offset: r.Offset, Time: time.UnixMilli(r.TimeMs), Data: r.Data})
+	}
+	return b, nil
+}
+
+// drainClose reads a short rest so that the connection can be used again.
+func drainClose(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, 4096)
+	_ = body.Close()
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,134 @@
+// Package settings reads the settings of a node: JSON with comments, checked
+// whole, all findings reported together.
+package settings
+
+import (
+	"net"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/finding"
+	"github.com/goldcrestshed/goldcrestshed/internal/jsonc"
+)
+
+// Settings are the settings of goldcrestd.
+type Settings struct {
+	Node          Node          `json:"node" doc:"identity and place of the node"`
+	Listen        Listen        `json:"listen" doc:"addresses that the node listens on"`
+	BackendServer BackendServer `json:"backendServer" doc:"the backend server beside the node"`
+	Log           Log           `json:"log" doc:"the platform's log"`
+	Peers         Peers         `json:"peers" doc:"the inner protocol"`
+	Logging       Logging       `json:"logging" doc:"log lines on standard error"`
+	Drain         Drain         `json:"drain" doc:"graceful shutdown"`
+}
+
+// Node is the identity and place of a node.
+type Node struct {
+	ID            string `json:"id" required:"true" doc:"name of the node, unique in the system"`
+	Service       string `json:"service" required:"true" doc:"service of the backend server"`
+	Region        string `json:"region" required:"true" doc:"region of the instance"`
+	FailureDomain string `json:"failureDomain" required:"true" doc:"failure domain of the instance, inside one region"`
+}
+
+// Listen holds the node's own addresses.
+type Listen struct {
+	Calls string `json:"calls" required:"true" doc:"address for calls from callers and the local service, ip:port"`
+	Guard string `json:"guard" required:"true" doc:"address for calls that other nodes send to this backend server, ip:port"`
+	Peer  string `json:"peer" required:"true" doc:"address of the inner protocol, ip:port"`
+	Admin string `json:"admin" default:"127.0.0.1:0" doc:"address of health, metrics, dump and drain, ip:port; port 0 takes a free one"`
+}
+
+// BackendServer is the backend server that the node guards.
+type BackendServer struct {
+	Address     string         `json:"address" required:"true" doc:"HTTP address of the backend server, ip:port"`
+	Slots       int            `json:"slots" default:"18" min:"1" max:"100000" doc:"calls that the backend server runs at once"`
+	Connections int            `json:"connections" default:"110" min:"1" max:"100000" doc:"most connections to the backend server"`
+	ProbePath   string         `json:"probePath" default:"/healthz" doc:"path of the health probe"`
+	ProbeEvery  jsonc.Duration `json:"probeEvery" default:"1s" min:"100ms" max:"1m" doc:"time between health probes"`
+}
+
+// Log is how the node reaches the platform's log.
+type Log struct {
+	Address string `json:"address" required:"true" doc:"HTTP address of the log service, ip:port"`
+}
+
+// Peers are settings of the inner protocol.
+type Peers struct {
+	Token string   `json:"token" default:"" doc:"shared secret between nodes and operators; empty accepts everyone"`
+	Seeds []string `json:"seeds" doc:"inner protocol addresses to try when the log does not answer, ip:port"`
+}
+
+// Logging are settings of the log lines.
+type Logging struct {
+	Level  string `json:"level" default:"info" oneof:"debug|info|warn|error" doc:"lowest level that is written"`
+	Format string `json:"format" default:"text" oneof:"text|json" doc:"form of the lines"`
+}
+
+// Drain are settings of the graceful shutdown.
+type Drain struct {
+	Limit jsonc.Duration `json:"limit" default:"0s" min:"0s" max:"24h" doc:"longest time that work in flight may take; 0s waits for its end"`
+}
+
+// Parse reads settings. They are usable only when there are no findings.
+func Parse(file string, data []byte) (Settings, finding.List) {
+	var s Settings
+	root, found := jsonc.Parse(file, data)
+	if len(found) > 0 {
+		return s, found
+	}
+	found = root.Decode(&s)
+	found = append(found, checkAddresses(root, s)...)
+	found.Sort()
+	return s, found
+}
+
+// Load reads settings from a file.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	s, found := Parse(file, data)
+	return s, found.Err()
+}
+
+func checkAddresses(root jsonc.Value, s Settings) finding.List {
+	var found finding.List
+	check := func(section, field, address string) {
+		v, ok := root.Field(section)
+		if !ok {
+			return // the decoder has reported it
+		}
+		if v, ok = v.Field(field); !ok || v.Text() == "" {
+			return
+		}
+		found = append(found, checkAddress(v, address)...)
+	}
+	check("listen", "calls", s.Listen.Calls)
+	check("listen", "guard", s.Listen.Guard)
+	check("listen", "peer", s.Listen.Peer)
+	check("listen", "admin", s.Listen.Admin)
+	check("backendServer", "address", s.BackendServer.Address)
+	check("log", "address", s.Log.Address)
+	if peers, ok := root.Field("peers"); ok {
+		if seeds, ok := peers.Field("seeds"); ok {
+			for _, v := range seeds.Items() {
+				found = append(found, checkAddress(v, v.Text())...)
+			}
+		}
+	}
+	return found
+}
+
+// checkAddress wants an IP number, since instances have no name service.
+func checkAddress(v jsonc.Value, address string) finding.List {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return finding.List{v.Finding("not an address", "ip:port, such as 10.0.0.7:7000")}
+	}
+	if _, err := net.LookupPort("tcp", port); err != nil {
+		return finding.List{v.Finding("not a port", "0 to 65535")}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/log.go
@@ -0,0 +1,242 @@
+// Package standin holds small stand-ins of the platform's log and of a
+// backend server, with faults that are set over HTTP. They serve trials,
+// tests and measurements, not production.
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+)
+
+// LogFaults are the faults of a Log stand-in.
+type LogFaults struct {
+	Down         bool             `json:"down"`         // refuse every request
+	SlowMs       int              `json:"slowMs"`       // delay of every request
+	LoseAnswers  int              `json:"loseAnswers"`  // appends still to be applied and left without an answer
+	ExpireBefore map[string]int64 `json:"expireBefore"` // by stream: drop records below the offset
+	Reset        bool             `json:"reset"`        // drop everything and start offsets again
+}
+
+// Log is a stand-in of the platform's log.
+type Log struct {
+	retention time.Duration
+	now       func() time.Time
+
+	mu      sync.Mutex
+	epoch   string                // guarded by mu
+	streams map[string]*logStream // guarded by mu
+	faults  LogFaults             // guarded by mu
+	appends int64                 // guarded by mu
+	reads   int64                 // guarded by mu
+}
+
+type logStream struct {
+	first   int64
+	records []platformlog.WireRecord
+	grown   chan struct{} // closed and replaced by each append
+}
+
+func (s *logStream) next() int64 { return s.first + int64(len(s.records)) }
+
+// NewLog returns an empty log that keeps records for the given time.
+func NewLog(retention time.Duration, now func() time.Time) *Log {
+	return &Log{retention: retention, now: now, epoch: uuid.NewString(), streams: map[string]*logStream{}}
+}
+
+// Handler returns the HTTP interface of the log.
+func (l *Log) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}/records", l.serveAppend)
+	mux.HandleFunc("GET /v1/streams/{stream}/records", l.serveRead)
+	mux.HandleFunc("PUT /v1/faults", l.serveFaults)
+	mux.HandleFunc("GET /v1/stats", l.serveStats)
+	return mux
+}
+
+// SetFaults replaces the faults. ExpireBefore and Reset act once.
+func (l *Log) SetFaults(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if f.Reset {
+		l.resetLocked()
+	}
+	for name, before := range f.ExpireBefore {
+		l.streamLocked(name).dropBefore(before)
+	}
+	f.Reset, f.ExpireBefore = false, nil
+	l.faults = f
+}
+
+func (l *Log) resetLocked() {
+	for _, s := range l.streams {
+		close(s.grown)
+	}
+	l.streams = map[string]*logStream{}
+	l.epoch = uuid.NewString()
+}
+
+// Counts returns the requests served so far.
+func (l *Log) Counts() (appends, reads int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends, l.reads
+}
+
+func (l *Log) streamLocked(name string) *logStream {
+	s := l.streams[name]
+	if s == nil {
+		s = &logStream{grown: make(chan struct{})}
+		l.streams[name] = s
+	}
+	l.expireLocked(s)
+	return s
+}
+
+func (l *Log) expireLocked(s *logStream) {
+	limit := l.now().Add(-l.retention).UnixMilli()
+	n := 0
+	for n < len(s.records) && s.records[n].TimeMs < limit {
+		n++
+	}
+	s.dropBefore(s.first + int64(n))
+}
+
+func (s *logStream) dropBefore(offset int64) {
+	n := min(max(offset-s.first, 0), int64(len(s.records)))
+	s.records = s.records[n:]
+	s.first += n
+}
+
+// admit applies the delay and the outage; it reports whether to serve.
+func (l *Log) admit(w http.ResponseWriter, r *http.Request) bool {
+	l.mu.Lock()
+	f := l.faults
+	l.mu.Unlock()
+	if f.SlowMs > 0 {
+		select {
+		case <-time.After(time.Duration(f.SlowMs) * time.Millisecond):
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	if f.Down {
+		http.Error(w, "the log is down", http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
+	if !l.admit(w, r) {
+		return
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platformlog.MaxRecordBytes))
+	if err != nil {
+		http.Error(w, "record too large or cut short", http.StatusRequestEntityTooLarge)
+		return
+	}
+	out, lost := l.append(r.PathValue("stream"), data)
+	if lost {
+		panic(http.ErrAbortHandler) // cuts the connection without an answer
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (l *Log) append(stream string, data []byte) (out platformlog.AppendResponse, lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.streamLocked(stream)
+	out = platformlog.AppendResponse{Epoch: l.epoch, Offset: s.next()}
+	s.records = append(s.records, platformlog.WireRecord{Offset: out.Offset, TimeMs: l.now().UnixMilli(), Data: data})
+	close(s.grown)
+	s.grown = make(chan struct{})
+	l.appends++
+	if l.faults.LoseAnswers > 0 {
+		l.faults.LoseAnswers--
+		return out, true
+	}
+	return out, false
+}
+
+func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
+	if !l.admit(w, r) {
+		return
+	}
+	q := r.URL.Query()
+	from, err1 := strconv.ParseInt(q.Get("from"), 10, 64)
+	limit, err2 := strconv.Atoi(q.Get("max"))
+	waitMs, err3 := strconv.Atoi(q.Get("waitMs"))
+	if err1 != nil || err2 != nil || err3 != nil || from < 0 || limit < 1 {
+		http.Error(w, "want from, max and waitMs as whole numbers", http.StatusBadRequest)
+		return
+	}
+	deadline := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
+	defer deadline.Stop()
+	for {
+		status, out, grown := l.read(r.PathValue("stream"), from, limit)
+		if status != http.StatusOK || len(out.Records) > 0 {
+			writeJSON(w, status, out)
+			return
+		}
+		select {
+		case <-grown:
+		case <-deadline.C:
+			writeJSON(w, status, out)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (l *Log) read(stream string, from int64, limit int) (int, platformlog.ReadResponse, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	s := l.streamLocked(stream)
+	out := platformlog.ReadResponse{Epoch: l.epoch, First: s.first, Next: s.next(), RetentionMs: l.retention.Milliseconds()}
+	switch {
+	case from < s.first:
+		return http.StatusGone, out, s.grown
+	case from > s.next():
+		return http.StatusRequestedRangeNotSatisfiable, out, s.grown
+	}
+	records := s.records[from-s.first:]
+	out.Records = append(out.Records, records[:min(limit, len(records))]...)
+	return http.StatusOK, out, s.grown
+}
+
+func (l *Log) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f LogFaults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// LogStats counts what the stand-in served.
+type LogStats struct {
+	Appends int64 `json:"appends"`
+	Reads   int64 `json:"reads"`
+}
+
+func (l *Log) serveStats(w http.ResponseWriter, _ *http.Request) {
+	appends, reads := l.Counts()
+	writeJSON(w, http.StatusOK, LogStats{Appends: appends, Reads: reads})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,56 @@
+// Package telemetry holds the log handler, the metrics scope and the state
+// dump of a process.
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/settings"
+)
+
+var levels = map[string]slog.Level{
+	"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError,
+}
+
+// NewLogger returns a logger in the form that the settings ask for.
+func NewLogger(w io.Writer, s settings.Logging) *slog.Logger {
+	opts := &slog.HandlerOptions{Level: levels[s.Level]}
+	if s.Format == "json" {
+		return slog.New(slog.NewJSONHandler(w, opts))
+	}
+	return slog.New(slog.NewTextHandler(w, opts))
+}
+
+// reportEvery is how often counters move from the scope to the reporter.
+const reportEvery = time.Second
+
+// Metrics is a metrics scope with its text form over HTTP.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics returns metrics under the prefix goldcrest. Several may live in
+// one process, as in tests, so each has its own registry.
+func NewMetrics() *Metrics {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer: registry, Gatherer: registry, OnRegisterError: func(error) {},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "goldcrest", CachedReporter: reporter, Separator: tallyprom.DefaultSeparator,
+		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+	}, reportEvery)
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Close stops the reports.
+func (m *Metrics) Close() error { return m.closer.Close() }
