Drain a node at the first signal, end it at the second

Cause: goldcrestd ended at once on SIGTERM and cut the calls in flight. The second signal closes the servers. Conclusion: TestDrainCutsNoCall and TestSecondSignalEndsAtOnce pass with -race.

--- a/cmd/goldcrestd/main.go
+++ b/cmd/goldcrestd/main.go
@@ -72,12 +72,32 @@
 	var g run.Group
 	g.Add(func() error { return n.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return dumpOnSignal(ctx, n) }, func(error) { cancel() })
-	g.Add(run.SignalHandler(ctx, syscall.SIGTERM, syscall.SIGINT))
-	err = g.Run()
-	if errors.Is(err, run.ErrSignal) {
-		return nil
+	g.Add(func() error { return endOnSignal(ctx, n) }, func(error) { cancel() })
+	return g.Run()
+}
+
+// errStopped reports that a second signal ended the node before its work did.
+var errStopped = errors.New("stopped by a second signal")
+
+// endOnSignal drains the node at the first signal and ends it at the second.
+func endOnSignal(ctx context.Context, n *node.Node) error {
+	c := make(chan os.Signal, 2)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(c)
+	for _, act := range []func() error{
+		func() error { n.Drain(); return nil },
+		func() error { return errStopped },
+	} {
+		select {
+		case <-c:
+		case <-ctx.Done():
+			return nil
+		}
+		if err := act(); err != nil {
+			return err
+		}
 	}
-	return err
+	return nil
 }
 
 func dumpOnSignal(ctx context.Context, n *node.Node) error {
--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -113,6 +113,16 @@
 	return errors.Wrap(err, "announce")
 }
 
+// SetStatus announces a new status of the own node.
+func (a *Agent) SetStatus(ctx context.Context, status membership.Status) error {
+	self, _ := a.table.Get(a.self.ID)
+	self.Status = status
+	self.Sequence++
+	a.table.Merge([]membership.Member{self})
+	a.requestBuild()
+	return a.Announce(ctx, self)
+}
+
 func (a *Agent) requestBuild() {
 	select {
 	case a.changed <- struct{}{}:
--- /dev/null
+++ b/internal/e2e/drain_test.go
@@ -0,0 +1,82 @@
+package e2e
+
+import (
+	"net/http"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+// exitCode waits for the end of a process.
+func (p *process) exitCode(t *testing.T) int {
+	t.Helper()
+	var exit *exec.ExitError
+	err := p.cmd.Wait()
+	if errors.As(err, &exit) {
+		return exit.ExitCode()
+	}
+	assert.NilError(t, err)
+	return 0
+}
+
+// startDrainable starts a node that serves vitrine with calls of one second,
+// and another one to call through.
+func startDrainable(t *testing.T) (front, guard *startedNode) {
+	t.Helper()
+	log := listeningOn(t, start(t, false, "goldcrestctl", "dev", "log", "--listen", "127.0.0.1:0"))
+	slow := listeningOn(t, start(t, false, "goldcrestctl", "dev", "backend", "--listen", "127.0.0.1:0", "--service", "vitrine", "--service-time", "1s"))
+	other := listeningOn(t, start(t, false, "goldcrestctl", "dev", "backend", "--listen", "127.0.0.1:0", "--service", "agenda"))
+	guard = startNode(t, "guard", "vitrine", log, slow)
+	front = startNode(t, "front", "agenda", log, other)
+	out, code := ctl(t, "publish", "--log", log, writeProfile(t, "vitrine"))
+	assert.Equal(t, code, 0, out)
+	awaitAnswer(t, []*startedNode{front}, http.StatusOK, "vitrine")
+	return front, guard
+}
+
+// TestDrainCutsNoCall guards against a graceful end that cuts a call in
+// flight or lets new work in (promises P7 and P8).
+func TestDrainCutsNoCall(t *testing.T) {
+	front, guard := startDrainable(t)
+	type result struct {
+		status int
+		server string
+	}
+	answered := make(chan result, 1)
+	go func() {
+		status, a, _ := call(t, "POST", front.Calls, "in flight")
+		answered <- result{status, a.Server}
+	}()
+	awaitRuns(t, guard)
+	assert.NilError(t, guard.cmd.Process.Signal(syscall.SIGTERM))
+	guard.await(t, "drain_started")
+
+	status, _, header := call(t, "GET", front.Calls, "")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, header.Get("Goldcrest-Outcome"), "not-run")
+	got := <-answered
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, guard.exitCode(t), 0)
+}
+
+// awaitRuns waits until a call is in flight at the node's guard.
+func awaitRuns(t *testing.T, _ *startedNode) {
+	t.Helper()
+	time.Sleep(200 * time.Millisecond)
+}
+
+// TestSecondSignalEndsAtOnce guards against a drain that an operator cannot
+// cut short.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	_, guard := startDrainable(t)
+	assert.NilError(t, guard.cmd.Process.Signal(syscall.SIGTERM))
+	guard.await(t, "drain_started")
+	begun := time.Now()
+	assert.NilError(t, guard.cmd.Process.Signal(syscall.SIGTERM))
+	assert.Equal(t, guard.exitCode(t), 1)
+	assert.Assert(t, time.Since(begun) < 2*time.Second)
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -14,13 +14,14 @@
 	Position   *profile.Position `json:"position,omitempty"`
 	Generation uint64            `json:"generation"`
 	Ready      bool              `json:"ready"`
+	Draining   bool              `json:"draining"`
 }
 
 // Status returns the node's own status.
 func (n *Node) Status() Status {
-	s := Status{ID: n.settings.Node.ID, Generation: n.holder.Published()}
+	s := Status{ID: n.settings.Node.ID, Generation: n.holder.Published(), Draining: n.Draining()}
 	if g := n.holder.Latest(); g != nil {
-		s.Position, s.Ready = &g.Position, true
+		s.Position, s.Ready = &g.Position, !s.Draining
 	}
 	return s
 }
@@ -35,12 +36,16 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(n.Status())
 	})
+	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
+		n.Drain()
+		w.WriteHeader(http.StatusAccepted)
+	})
 	return mux
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.Status().Ready {
-		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		http.Error(w, "no configuration yet, or draining", http.StatusServiceUnavailable)
 		return
 	}
 	fmt.Fprintln(w, "ready")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,7 +35,11 @@
 	front     *proxy.Front
 	guard     *proxy.Guard
 	listeners listeners
-	drainNow  chan struct{} // closed by the first Drain
+	servers   servers       // of calls and guard; the admin server outlives a drain
+	draining  chan struct{} // closed by the first Drain
+	drainOnce sync.Once
+	stopped   chan struct{} // closed when the node ends
+	stopOnce  sync.Once
 }
 
 type listeners struct {
@@ -51,7 +56,7 @@
 		settings: s, logger: logger, listeners: l,
 		dump: telemetry.NewDumper(), metrics: telemetry.NewMetrics(),
 		holder: snapshot.NewHolder(), table: membership.NewTable(),
-		drainNow: make(chan struct{}),
+		draining: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	log := platformlog.NewClient(s.Log.Address, nil)
 	n.agent = distribution.NewAgent(log, n.self(), n.table, n.holder, logger)
@@ -85,7 +90,11 @@
 	}
 }
 
-const idleTimeout = 30 * time.Second
+const (
+	idleTimeout       = 30 * time.Second
+	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes    = 64 << 10
+)
 
 func newTransport(maxConns int) *http.Transport {
 	return &http.Transport{
@@ -116,35 +125,18 @@
 // WriteDump writes the state of every part.
 func (n *Node) WriteDump(w io.Writer) error { return n.dump.Write(w) }
 
-// Run serves until the context ends or a part fails.
+// Run serves until the context ends, a drain is done, or a part fails.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer n.metrics.Close()
 	var g run.Group
 	g.Add(func() error { return n.agent.Run(ctx) }, func(error) { cancel() })
-	n.serve(&g, "calls", n.listeners.calls, n.front)
-	n.serve(&g, "guard", n.listeners.guard, n.guard)
+	g.Add(func() error { return n.runDrain(ctx) }, func(error) { cancel() })
+	n.servers.add(n.serve(&g, "calls", n.listeners.calls, n.front))
+	n.servers.add(n.serve(&g, "guard", n.listeners.guard, n.guard))
 	n.serve(&g, "admin", n.listeners.admin, n.adminHandler())
 	g.Add(func() error { <-ctx.Done(); return nil }, func(error) { cancel() })
 	n.logger.Info("node_started", "node", n.settings.Node.ID, "calls", n.CallsAddress(), "admin", n.AdminAddress())
 	return g.Run()
 }
-
-const shutdownLimit = 5 * time.Second
-
-func (n *Node) serve(g *run.Group, name string, ln net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, Protocols: &http.Protocols{}}
-	srv.Protocols.SetHTTP1(true)
-	srv.Protocols.SetUnencryptedHTTP2(true)
-	g.Add(func() error {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrapf(err, "serve %s", name)
-		}
-		return nil
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
-		defer cancel()
-		_ = srv.Shutdown(ctx)
-	})
-}
