--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,273 @@
+// Package demo runs a small system inside one process: a stand-in of the log,
+// three backend servers and their nodes on free loopback ports.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/operator"
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+)
+
+const (
+	serviceName  = "vitrine"
+	hostName     = "vitrine.example"
+	nodeCount    = 3
+	stepLimit    = 10 * time.Second // longest wait of one step
+	pollEvery    = 20 * time.Millisecond
+	callsPerNode = 20
+)
+
+// Demo is one run of the demonstration.
+type Demo struct {
+	out   io.Writer
+	log   *server
+	nodes []*member
+	ops   *operator.Client
+}
+
+// Run runs the steps and reports the first that did not hold. With stay it
+// then serves until the context ends.
+func Run(ctx context.Context, out io.Writer, stay bool) error {
+	d := &Demo{out: out}
+	defer d.close()
+	steps := []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"start a log, three backend servers and their nodes", d.start},
+		{"publish profile " + serviceName, d.publish},
+		{"call through every node", d.callAll},
+		{"kill one backend server; callers still get answers", d.killOne},
+		{"revise the profile; every node takes the new version", d.revise},
+		{"retire the profile; the route is gone", d.retire},
+	}
+	for i, s := range steps {
+		if stay && i == len(steps)-1 {
+			break // the route stays for trials
+		}
+		fmt.Fprintf(out, "%d. %s\n", i+1, s.name)
+		if err := d.step(ctx, s.run); err != nil {
+			return errors.Wrapf(err, "step %d did not hold", i+1)
+		}
+	}
+	if stay {
+		d.printAddresses()
+		<-ctx.Done()
+		return nil
+	}
+	fmt.Fprintln(out, "every step held")
+	return nil
+}
+
+func (d *Demo) step(ctx context.Context, run func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, stepLimit)
+	defer cancel()
+	return run(ctx)
+}
+
+func (d *Demo) start(ctx context.Context) error {
+	var err error
+	if d.log, err = startLog(); err != nil {
+		return err
+	}
+	d.ops = operator.NewClient(platformlog.NewClient(d.log.address, nil), "demo", time.Now)
+	if err := d.ops.Init(ctx); err != nil {
+		return err
+	}
+	for i := range nodeCount {
+		m, err := startMember(i, d.log.address)
+		if err != nil {
+			return err
+		}
+		d.nodes = append(d.nodes, m)
+		fmt.Fprintf(d.out, "   node %s: calls %s, admin %s, backend server %s\n", m.id, m.node.CallsAddress(), m.node.AdminAddress(), m.backend.address)
+	}
+	return nil
+}
+
+const profileText = `{
+	"kind": "profile", "name": "vitrine",
+	"routes": [{"name": "all", "host": "vitrine.example", "service": "vitrine"}],
+	"policy": {"timeout": "%s", "retries": 2},
+}`
+
+func (d *Demo) publish(ctx context.Context) error { return d.publishTimeout(ctx, "2s") }
+
+func (d *Demo) revise(ctx context.Context) error { return d.publishTimeout(ctx, "1s") }
+
+// publishTimeout publishes the profile and waits until every node holds it.
+func (d *Demo) publishTimeout(ctx context.Context, timeout string) error {
+	docs, found := profile.ParseFile("demo", fmt.Appendf(nil, profileText, timeout))
+	if err := found.Err(); err != nil {
+		return err
+	}
+	before, err := d.ops.State(ctx)
+	if err != nil {
+		return err
+	}
+	return d.submit(ctx, operator.PublishEdits(before, docs))
+}
+
+func (d *Demo) retire(ctx context.Context) error {
+	before, err := d.ops.State(ctx)
+	if err != nil {
+		return err
+	}
+	edits, err := operator.RetireEdits(before, serviceName, true)
+	if err != nil {
+		return err
+	}
+	if err := d.submit(ctx, edits); err != nil {
+		return err
+	}
+	return d.awaitStatus(ctx, http.StatusNotFound)
+}
+
+func (d *Demo) submit(ctx context.Context, edits []profile.Edit) error {
+	begun := time.Now()
+	after, err := d.ops.Submit(ctx, edits)
+	if err != nil {
+		return err
+	}
+	for _, m := range d.nodes {
+		if err := until(ctx, func() error { return m.holds(after.Position) }); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(d.out, "   position %s in force on %d nodes after %s\n", after.Position, len(d.nodes), time.Since(begun).Round(time.Millisecond))
+	return nil
+}
+
+func (d *Demo) callAll(ctx context.Context) error {
+	if err := d.awaitStatus(ctx, http.StatusOK); err != nil {
+		return err
+	}
+	return d.sendCalls(ctx)
+}
+
+func (d *Demo) killOne(ctx context.Context) error {
+	d.nodes[0].backend.close()
+	return d.sendCalls(ctx)
+}
+
+// sendCalls sends reads and keyed writes through every node and wants an
+// answer to each.
+func (d *Demo) sendCalls(ctx context.Context) error {
+	answered := 0
+	for _, m := range d.nodes {
+		for i := range callsPerNode {
+			method := http.MethodGet
+			if i%4 == 0 {
+				method = http.MethodPost
+			}
+			status, err := call(ctx, method, m.node.CallsAddress())
+			if err != nil || status != http.StatusOK {
+				return errors.Newf("%s through node %s: status %d, error %v", method, m.id, status, err)
+			}
+			answered++
+		}
+	}
+	fmt.Fprintf(d.out, "   %d of %d calls answered\n", answered, answered)
+	return nil
+}
+
+func (d *Demo) awaitStatus(ctx context.Context, want int) error {
+	for _, m := range d.nodes {
+		err := until(ctx, func() error {
+			got, err := call(ctx, http.MethodGet, m.node.CallsAddress())
+			if err != nil || got != want {
+				return errors.Newf("node %s: status %d, want %d, error %v", m.id, got, want, err)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func call(ctx context.Context, method, address string) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/offers", strings.NewReader("demo"))
+	if err != nil {
+		return 0, err
+	}
+	req.Host = hostName
+	if method == http.MethodPost {
+		key, err := uuid.NewV7()
+		if err != nil {
+			return 0, err
+		}
+		req.Header.Set("Idempotency-Key", key.String())
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// until repeats check until it holds or the context ends.
+func until(ctx context.Context, check func() error) error {
+	tick := time.NewTicker(pollEvery)
+	defer tick.Stop()
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return errors.Wrap(err, "gave up waiting")
+		}
+	}
+}
+
+func (d *Demo) printAddresses() {
+	fmt.Fprintf(d.out, "log %s\n", d.log.address)
+	for _, m := range d.nodes {
+		fmt.Fprintf(d.out, "curl -H 'Host: %s' http://%s/offers\n", hostName, m.node.CallsAddress())
+	}
+	fmt.Fprintln(d.out, "stop with Ctrl-C")
+}
+
+func (d *Demo) close() {
+	for _, m := range d.nodes {
+		m.close()
+	}
+	if d.log != nil {
+		d.log.close()
+	}
+}
+
+// server is an HTTP server on a free loopback port.
+type server struct {
+	address string
+	srv     *http.Server
+}
+
+func startServer(h http.Handler) (*server, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s := &server{address: ln.Addr().String(), srv: &http.Server{Handler: h, ReadHeaderTimeout: stepLimit}}
+	go func() { _ = s.srv.Serve(ln) }()
+	return s, nil
+}
+
+func (s *server) close() { _ = s.srv.Close() }
