--- a/internal/jsonc/value.go
+++ b/internal/jsonc/value.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"regexp"
 	"strconv"
+	"strings"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/finding"
 	"github.com/tailscale/hujson"
@@ -99,7 +100,7 @@
 
 func (v Value) child(c *hujson.Value, step string) Value {
 	path := v.path + step
-	if v.path != "" && step[0] != '[' {
+	if v.path != "" && !strings.HasPrefix(step, "[") {
 		path = v.path + "." + step
 	}
 	return Value{src: v.src, v: c, path: path}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,6 +132,7 @@
 	defer n.metrics.Close()
 	var g run.Group
 	g.Add(func() error { return n.agent.Run(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return n.runMetrics(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return n.runDrain(ctx) }, func(error) { cancel() })
 	n.servers.add(n.serve(&g, "calls", n.listeners.calls, n.front))
 	n.servers.add(n.serve(&g, "guard", n.listeners.guard, n.guard))
--- /dev/null
+++ b/internal/telemetry/catalog_test.go
@@ -0,0 +1,54 @@
+package telemetry
+
+import (
+	"io/fs"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+var logLine = regexp.MustCompile(`\.(Info|Warn|Error)\("([a-z_]+)"`)
+
+// TestEventsMatchCode guards against a log event that the catalog lacks, or
+// names with another level, and against events that no code writes.
+func TestEventsMatchCode(t *testing.T) {
+	listed := map[string]string{}
+	for _, e := range Events {
+		listed[e.Name] = e.Level
+	}
+	written := map[string]bool{}
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		for _, m := range logLine.FindAllStringSubmatch(string(data), -1) {
+			written[m[2]] = true
+			assert.Check(t, listed[m[2]] == strings.ToLower(m[1]), "%s: event %s at %s, catalog has %q", path, m[2], m[1], listed[m[2]])
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	for name := range listed {
+		assert.Check(t, written[name], "no code writes event %s", name)
+	}
+}
+
+// TestMetricsAppearInText guards against metrics that collectors cannot read.
+func TestMetricsAppearInText(t *testing.T) {
+	m := NewMetrics()
+	m.Scope.Gauge(MetricGeneration).Update(7)
+	assert.NilError(t, m.Close()) // reports what is pending
+	assert.Assert(t, strings.Contains(scrape(m), "goldcrest_generation 7"))
+}
+
+func scrape(m *Metrics) string {
+	w := httptest.NewRecorder()
+	m.Handler.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	return w.Body.String()
+}
