Make the fold reach one state for every reader

Cause: records read before an anchor lost their decode error, changes in a log without an anchor vanished without a refusal, a later genesis record or an era checkpoint anchored readers that had a gap, a join did not raise the era, and a record after one with a newer schema was folded. A reader from a checkpoint could so end in another state than one that read everything. The fuzz targets also found that a document with an empty field name makes the decoder panic, on every node that folds it, and that a syntax finding over two lines lost its place.

Change: buffered records keep their error; changes before the anchor are refused with "log not anchored"; a checkpoint names the id of the record at its last offset, so one that reached a restarted log late is recognised; a join merges the bounded lists; a newer schema blocks the fold for good; unreadable checkpoints and unknown kinds are refused; a reference that a join broke blocks only its own documents. Entries keep their parsed document. Verdicts list the versions that a change made.

Proof: with each of these rules taken out, TestEveryReaderReachesTheSameState, TestChangesAreWholeAndVersionsRise or TestFoldRules failed: buffered error, refusal before the anchor, genesis at a later offset, era, schema, whole changes, id of the covered record, gap, scope of references, copied entries.

--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -66,7 +66,7 @@
 	for i := range obj.Members {
 		m := &obj.Members[i]
 		name := m.Name.Value.(hujson.Literal).String()
-		nameAt := v.child(&m.Name, name)
+		nameAt := v.member(&m.Name, name)
 		f, known := fields.byName[name]
 		switch {
 		case !known:
@@ -74,7 +74,7 @@
 		case seen[name]:
 			d.add(nameAt, "each field once", "field repeated")
 		default:
-			d.value(v.child(&m.Value, name), out.FieldByIndex(f.Index), f.Tag)
+			d.value(v.member(&m.Value, name), out.FieldByIndex(f.Index), f.Tag)
 		}
 		seen[name] = true
 	}
--- a/internal/jsonc/value.go
+++ b/internal/jsonc/value.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"regexp"
 	"strconv"
+	"strings"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/finding"
 	"github.com/tailscale/hujson"
@@ -24,7 +25,7 @@
 	data []byte
 }
 
-var parsePlace = regexp.MustCompile(`line (\d+), column (\d+): (.*)$`)
+var parsePlace = regexp.MustCompile(`(?s)line (\d+), column (\d+): (.*)$`)
 
 // Parse reads the syntax of a file. On a syntax error the list has one
 // finding and the Value must not be used.
@@ -42,7 +43,7 @@
 	if m := parsePlace.FindStringSubmatch(err.Error()); m != nil {
 		f.Line, _ = strconv.Atoi(m[1])
 		f.Column, _ = strconv.Atoi(m[2])
-		f.Problem = m[3]
+		f.Problem = strings.ReplaceAll(m[3], "\n", `\n`) // one finding takes one line
 	}
 	return f
 }
@@ -56,7 +57,7 @@
 	}
 	items := make([]Value, len(arr.Elements))
 	for i := range arr.Elements {
-		items[i] = v.child(&arr.Elements[i], fmt.Sprintf("[%d]", i))
+		items[i] = v.element(&arr.Elements[i], i)
 	}
 	return items
 }
@@ -70,7 +71,7 @@
 	for i := range obj.Members {
 		m := &obj.Members[i]
 		if lit, ok := m.Name.Value.(hujson.Literal); ok && lit.String() == name {
-			return v.child(&m.Value, fieldPath("", name)), true
+			return v.member(&m.Value, name), true
 		}
 	}
 	return Value{}, false
@@ -97,12 +98,13 @@
 	return finding.Finding{File: v.src.file, Line: line, Column: col, Path: v.path, Problem: problem, Allowed: allowed}
 }
 
-func (v Value) child(c *hujson.Value, step string) Value {
-	path := v.path + step
-	if v.path != "" && step[0] != '[' {
-		path = v.path + "." + step
-	}
-	return Value{src: v.src, v: c, path: path}
+// member returns a part of an object, under the name of its field.
+func (v Value) member(c *hujson.Value, name string) Value {
+	return Value{src: v.src, v: c, path: fieldPath(v.path, name)}
+}
+
+func (v Value) element(c *hujson.Value, index int) Value {
+	return Value{src: v.src, v: c, path: fmt.Sprintf("%s[%d]", v.path, index)}
 }
 
 func fieldPath(parent, name string) string {
--- a/internal/profile/fold.go
+++ b/internal/profile/fold.go
@@ -1,12 +1,12 @@
 package profile
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/goldcrestshed/goldcrestshed/internal/finding"
 )
 
@@ -15,14 +15,9 @@
 	maxRecent  = 1024 // change ids kept to recognise repeated records
 )
 
-// State is the configuration at a position. Its maps are not changed after
-// publication: the fold copies before it writes.
-type State struct {
-	Position Position
-	Entries  map[Key]Entry
-	Refused  []Refusal
-	Recent   []string
-}
+// logStart is the offset of the first record that a log ever holds. A reader
+// that starts there has missed nothing to retention.
+const logStart int64 = 0
 
 // Outcome is what the fold made of a record.
 type Outcome int
@@ -39,27 +34,34 @@
 
 // Verdict is the result of one record.
 type Verdict struct {
-	Outcome Outcome
-	Refusal *Refusal // set with OutcomeRefused
+	Outcome  Outcome
+	Refusal  *Refusal // set with OutcomeRefused
+	Accepted []Entry  // versions that an accepted change made, in the order of its edits
 }
 
-type bufferedRecord struct {
+// reading is a record as it was read, or the reason why it is unreadable.
+type reading struct {
 	offset int64
 	rec    Record
+	err    error
 }
 
 // Fold turns the records of one log into states. Records must come in offset
 // order. A Fold belongs to one goroutine; State values may be shared.
+//
+// The state at an offset depends only on the log: a reader that starts from a
+// checkpoint reaches the same one as a reader that started at offset 0.
 type Fold struct {
 	state    State
 	anchored bool
-	first    int64 // first offset read while not anchored
-	next     int64 // offset expected next
-	buffer   []bufferedRecord
+	blocked  bool      // a record with a newer schema was met
+	first    int64     // first offset read while not anchored
+	next     int64     // offset expected next
+	buffer   []reading // read while not anchored
 }
 
 // NewFold returns a fold that reads a log from its offset first and waits for
-// a genesis record or a checkpoint.
+// a genesis record or a checkpoint. First must be the first retained offset.
 func NewFold(first int64) *Fold {
 	return &Fold{first: first, next: first, state: State{Entries: map[Key]Entry{}}}
 }
@@ -72,6 +74,10 @@
 // Anchored reports whether the fold holds a state.
 func (f *Fold) Anchored() bool { return f.anchored }
 
+// Blocked reports whether the fold met a record with a schema that this build
+// does not know. It folds nothing after that.
+func (f *Fold) Blocked() bool { return f.blocked }
+
 // Next returns the offset that the fold expects next.
 func (f *Fold) Next() int64 { return f.next }
 
@@ -84,15 +90,32 @@
 	if offset < f.next {
 		return Verdict{Outcome: OutcomeOutOfOrder}
 	}
-	rec, err := decodeRecord(data)
-	if err == nil && rec.Schema > SchemaVersion {
+	// The fold stays blocked: a gap in offsets would otherwise let the record
+	// after the unknown one pass.
+	if f.blocked || schemaOf(data) > SchemaVersion {
+		f.blocked = true
 		return Verdict{Outcome: OutcomeNewSchema}
 	}
 	f.next = offset + 1
-	if !f.anchored {
-		return f.applyUnanchored(offset, rec, err)
+	rec, err := decodeRecord(data)
+	r := reading{offset: offset, rec: rec, err: err}
+	if !f.anchored && !f.anchorOn(r) {
+		f.buffer = append(f.buffer, r)
+		return Verdict{Outcome: OutcomeBuffered}
+	}
+	return f.fold(r)
+}
+
+// schemaOf reads only the schema, since the rest of a record with a newer
+// schema may not decode.
+func schemaOf(data []byte) int {
+	var head struct {
+		Schema int `json:"schema"`
 	}
-	return f.applyAnchored(offset, rec, err)
+	if json.Unmarshal(data, &head) != nil {
+		return 0
+	}
+	return head.Schema
 }
 
 func decodeRecord(data []byte) (Record, error) {
@@ -101,267 +124,144 @@
 		return Record{}, err
 	}
 	if rec.ID == "" {
-		return Record{}, fmt.Errorf("record without id")
-	}
-	return rec, nil
-}
-
-// applyUnanchored buffers until a genesis record or a checkpoint that leaves
-// no gap to the first offset read.
-func (f *Fold) applyUnanchored(offset int64, rec Record, err error) Verdict {
-	switch {
-	case err != nil:
-		rec = Record{}
-	case rec.Kind == RecordGenesis:
-		f.anchor(State{Position: Position{Era: 1, Offset: offset}, Entries: map[Key]Entry{}})
-		return Verdict{Outcome: OutcomeAccepted}
-	case rec.Kind == RecordCheckpoint && rec.Checkpoint != nil && rec.Checkpoint.Through+1 >= f.first:
-		return f.anchorAt(offset, rec.Checkpoint)
-	case rec.Kind == RecordCheckpoint && rec.Checkpoint != nil && rec.Checkpoint.Through == NoOffset:
-		return f.anchorAt(offset, rec.Checkpoint)
+		return Record{}, errors.New("record without id")
 	}
-	f.buffer = append(f.buffer, bufferedRecord{offset: offset, rec: rec})
-	return Verdict{Outcome: OutcomeBuffered}
-}
-
-func (f *Fold) anchor(s State) {
-	f.state = s
-	f.anchored = true
-	f.buffer = nil
-}
-
-// anchorAt starts from a checkpoint and folds the buffered records that it
-// does not cover. A checkpoint that covers no offset opens an era: what stands
-// before it was written to a log without a state and is left out.
-func (f *Fold) anchorAt(offset int64, c *Checkpoint) Verdict {
-	buffered := f.buffer
-	f.anchor(stateOf(c))
-	if c.Through != NoOffset {
-		for _, b := range buffered {
-			if b.offset > c.Through {
-				f.applyRecord(b.offset, b.rec)
-			}
-		}
+	if rec.Kind != RecordCheckpoint {
+		return rec, nil
 	}
-	f.state.Position.Offset = offset
-	return Verdict{Outcome: OutcomeAccepted}
-}
-
-func stateOf(c *Checkpoint) State {
-	entries := make(map[Key]Entry, len(c.Entries))
-	for _, e := range c.Entries {
-		entries[e.Key] = e
+	if rec.Checkpoint == nil {
+		return Record{ID: rec.ID}, errors.New("checkpoint without a state")
 	}
-	return State{
-		Position: Position{Era: c.Era, Offset: c.Through},
-		Entries:  entries, Refused: c.Refused, Recent: c.Recent,
+	if err := rec.Checkpoint.resolve(); err != nil {
+		return Record{ID: rec.ID}, err
 	}
+	return rec, nil
 }
 
-func (f *Fold) applyAnchored(offset int64, rec Record, err error) Verdict {
-	if err != nil {
-		v := f.refuse(offset, rec, false, finding.List{{Problem: "unreadable record: " + err.Error()}})
-		f.state.Position.Offset = offset
-		return v
+// anchorOn starts the fold when the record is a genesis record or a
+// checkpoint that leaves no gap to the first offset read, and reports whether
+// it did. The record itself is still to be folded.
+func (f *Fold) anchorOn(r reading) bool {
+	switch {
+	case r.err != nil:
+		return false
+	case r.rec.Kind == RecordGenesis && f.first == logStart:
+		// A later genesis record has no effect on readers that saw the first,
+		// so it must not be a start for readers that did not.
+		f.anchor(State{Position: Position{Era: firstEra, Offset: NoOffset}, Entries: map[Key]Entry{}})
+		return true
+	case r.rec.Kind == RecordCheckpoint && f.startsFrom(r):
+		f.anchor(r.rec.Checkpoint.state())
+		return true
 	}
-	return f.applyRecord(offset, rec)
+	return false
 }
 
-func (f *Fold) applyRecord(offset int64, rec Record) Verdict {
-	defer func() { f.state.Position.Offset = offset }()
-	switch rec.Kind {
-	case RecordChange:
-		return f.applyChange(offset, rec)
-	case RecordCheckpoint:
-		if rec.Checkpoint != nil {
-			f.join(rec.Checkpoint)
+func (f *Fold) startsFrom(r reading) bool {
+	c := r.rec.Checkpoint
+	if c.Through+1 < f.first || c.Through >= r.offset {
+		return false
+	}
+	for _, b := range f.buffer {
+		if b.offset == c.Through {
+			return b.rec.ID == c.ThroughID // another id: the checkpoint is of a lost log
 		}
 	}
-	return Verdict{Outcome: OutcomeAccepted}
-}
-
-// join takes over documents that the checkpoint has in a higher version. In
-// one lineage there are none; after a log was lost, the first checkpoint may
-// have come from a node that was behind.
-func (f *Fold) join(c *Checkpoint) {
-	f.state = Join(f.state, stateOf(c))
+	return true
 }
 
-// Join returns a with each document of b that has a higher version there.
-// The position stays a's.
-func Join(a, b State) State {
-	out := a
-	copied := false
-	for k, e := range b.Entries {
-		if have, ok := a.Entries[k]; ok && have.Version.Compare(e.Version) >= 0 {
-			continue
-		}
-		if !copied {
-			out.Entries = maps.Clone(a.Entries)
-			copied = true
-		}
-		if out.Entries == nil {
-			out.Entries = map[Key]Entry{}
+// anchor starts from a state and folds the buffered records after it. When
+// the state covers no offset of this log, the changes before it were written
+// to a log without a state, so nothing could be checked against them.
+func (f *Fold) anchor(s State) {
+	buffered := f.buffer
+	f.state, f.anchored, f.buffer = s, true, nil
+	for _, b := range buffered {
+		switch {
+		case s.Position.Offset == NoOffset && b.err == nil && b.rec.Kind == RecordChange:
+			f.refuseUnanchored(b)
+		case b.offset > s.Position.Offset:
+			f.fold(b)
 		}
-		out.Entries[k] = e
 	}
-	return out
 }
 
-func (f *Fold) applyChange(offset int64, rec Record) Verdict {
-	if slices.Contains(f.state.Recent, rec.ID) {
-		return Verdict{Outcome: OutcomeRepeated}
-	}
-	f.remember(rec.ID)
-	next, conflict, found := applyEdits(f.state, rec)
-	if len(found) > 0 {
-		return f.refuse(offset, rec, conflict, found)
+func (f *Fold) refuseUnanchored(r reading) {
+	if f.repeated(r.rec.ID) {
+		return
 	}
-	f.state.Entries = next
-	return Verdict{Outcome: OutcomeAccepted}
+	f.remember(r.rec.ID)
+	f.refuse(r, false, finding.List{{
+		Problem: "log not anchored", Allowed: "changes after the genesis record or the checkpoint of a restarted log",
+	}})
 }
 
-func (f *Fold) remember(id string) {
-	recent := append(slices.Clone(f.state.Recent), id)
-	if len(recent) > maxRecent {
-		recent = recent[len(recent)-maxRecent:]
-	}
-	f.state.Recent = recent
+// fold takes one record into the state of an anchored fold.
+func (f *Fold) fold(r reading) Verdict {
+	v := f.decide(r)
+	f.state.Position.Offset = r.offset
+	f.state.LastID = r.rec.ID
+	return v
 }
 
-func (f *Fold) refuse(offset int64, rec Record, conflict bool, found finding.List) Verdict {
-	r := Refusal{
-		RecordID: rec.ID, Author: rec.Author, Time: rec.Time, Conflict: conflict, Findings: found,
-		Position: Position{Era: f.state.Position.Era, Offset: offset},
+func (f *Fold) decide(r reading) Verdict {
+	if r.err != nil {
+		return f.refuse(r, false, finding.List{{Problem: "unreadable record: " + r.err.Error()}})
 	}
-	refused := append(slices.Clone(f.state.Refused), r)
-	if len(refused) > maxRefused {
-		refused = refused[len(refused)-maxRefused:]
+	switch r.rec.Kind {
+	case RecordGenesis:
+		return Verdict{Outcome: OutcomeAccepted} // no effect on a configuration that exists
+	case RecordChange:
+		return f.applyChange(r)
+	case RecordCheckpoint:
+		return f.applyCheckpoint(r)
 	}
-	f.state.Refused = refused
-	return Verdict{Outcome: OutcomeRefused, Refusal: &r}
+	return f.refuse(r, false, finding.List{{Problem: fmt.Sprintf("unknown kind of record %q", r.rec.Kind)}})
 }
 
-// applyEdits returns the entries after a change, or every finding against it.
-func applyEdits(s State, rec Record) (entries map[Key]Entry, conflict bool, found finding.List) {
-	entries = maps.Clone(s.Entries)
-	seen := make(map[Key]bool)
-	for i, e := range rec.Edits {
-		if seen[e.Key] {
-			found = append(found, editFinding(i, e, "document edited twice in one change"))
-			continue
-		}
-		seen[e.Key] = true
-		have, exists := s.Entries[e.Key]
-		if problem := checkBase(e, have, exists); problem != "" {
-			conflict = true
-			found = append(found, editFinding(i, e, problem))
-			continue
-		}
-		next, bad := applyEdit(s.Position.Era, i, e, have)
-		found = append(found, bad...)
-		next.Author, next.Time, next.RecordID = rec.Author, rec.Time, rec.ID
-		entries[e.Key] = next
-	}
-	if len(found) == 0 {
-		found = checkReferences(entries)
+// applyCheckpoint takes over documents that the checkpoint has in a higher
+// version. In one lineage there are none; after a log was lost, the first
+// checkpoint may have come from a node that was behind.
+func (f *Fold) applyCheckpoint(r reading) Verdict {
+	c := r.rec.Checkpoint
+	if c.Through >= r.offset {
+		return f.refuse(r, false, finding.List{{
+			Problem: fmt.Sprintf("checkpoint covers offset %d, which this log had not reached: it is of a lost log", c.Through),
+		}})
 	}
-	return entries, conflict, found
-}
-
-func editFinding(i int, e Edit, problem string) finding.Finding {
-	return finding.Finding{Path: fmt.Sprintf("edits[%d] %s", i, e.Key), Problem: problem}
+	f.state = Join(f.state, c.state())
+	f.state.Position.Era = max(f.state.Position.Era, c.Era)
+	return Verdict{Outcome: OutcomeAccepted}
 }
 
-// checkBase returns the conflict between the version that an edit revises
-// and the newest one, or "".
-func checkBase(e Edit, have Entry, exists bool) string {
-	live := exists && !have.Retired
-	switch {
-	case e.Base == nil && live:
-		return fmt.Sprintf("already at version %s by %s", have.Version, have.Author)
-	case e.Base != nil && !live:
-		return fmt.Sprintf("revises version %s, but the document is not in force", e.Base)
-	case e.Base != nil && e.Base.Compare(have.Version) != 0:
-		return fmt.Sprintf("revises version %s, but the newest is %s by %s", e.Base, have.Version, have.Author)
+func (f *Fold) applyChange(r reading) Verdict {
+	if f.repeated(r.rec.ID) {
+		return Verdict{Outcome: OutcomeRepeated}
 	}
-	return ""
-}
-
-func applyEdit(era uint32, i int, e Edit, have Entry) (Entry, finding.List) {
-	next := Entry{Key: e.Key, Version: Version{Era: era, Number: have.Version.Number + 1}}
-	switch e.Op {
-	case OpRetire:
-		next.Retired = true
-		return next, nil
-	case OpPublish:
-		docs, found := ParseFile(fmt.Sprintf("edits[%d]", i), e.Document)
-		if len(found) > 0 {
-			return next, found
-		}
-		if len(docs) != 1 || docs[0].Key() != e.Key {
-			return next, finding.List{editFinding(i, e, "the document is another one than the edit names")}
-		}
-		next.Document = docs[0].Canonical()
-		return next, nil
+	f.remember(r.rec.ID)
+	c := newChange(f.state, r.rec)
+	if found := c.apply(); len(found) > 0 {
+		return f.refuse(r, c.conflict, found)
 	}
-	return next, finding.List{editFinding(i, e, fmt.Sprintf("unknown operation %q", e.Op))}
+	f.state.Entries = c.entries
+	return Verdict{Outcome: OutcomeAccepted, Accepted: c.accepted}
 }
 
-// checkReferences refuses a configuration in which a service selects a
-// profile that is not in force.
-func checkReferences(entries map[Key]Entry) finding.List {
-	var found finding.List
-	for k, e := range entries {
-		if k.Kind != KindSelection || e.Retired {
-			continue
-		}
-		doc, err := e.Parse()
-		if err != nil || doc.Selection == nil {
-			continue // checked when it was accepted
-		}
-		p, ok := entries[Key{Kind: KindProfile, Name: doc.Selection.Profile}]
-		if !ok || p.Retired {
-			found = append(found, finding.Finding{
-				Path:    k.String(),
-				Problem: fmt.Sprintf("service %s selects profile %s, which is not in force", doc.Selection.Service, doc.Selection.Profile),
-				Allowed: "a published profile; change or retire the selection in the same change",
-			})
-		}
-	}
-	found.Sort()
-	return found
-}
+func (f *Fold) repeated(id string) bool { return slices.Contains(f.state.Recent, id) }
 
-// Parse returns the document of an entry that is in force.
-func (e Entry) Parse() (Document, error) {
-	docs, found := ParseFile(e.Key.String(), bytes.Clone(e.Document))
-	if err := found.Err(); err != nil {
-		return Document{}, err
-	}
-	if len(docs) != 1 {
-		return Document{}, fmt.Errorf("%s: want one document, got %d", e.Key, len(docs))
-	}
-	return docs[0], nil
+func (f *Fold) remember(id string) {
+	f.state.Recent = lastOf(append(slices.Clone(f.state.Recent), id), maxRecent)
 }
 
-// CheckpointOf returns the checkpoint of a state for the log that it was
-// folded from.
-func CheckpointOf(s State) *Checkpoint {
-	return &Checkpoint{
-		Era: s.Position.Era, Through: s.Position.Offset,
-		Entries: s.Sorted(), Recent: s.Recent, Refused: s.Refused,
+func (f *Fold) refuse(r reading, conflict bool, found finding.List) Verdict {
+	refusal := Refusal{
+		RecordID: r.rec.ID, Author: r.rec.Author, Time: r.rec.Time, Conflict: conflict, Findings: found,
+		Position: Position{Era: f.state.Position.Era, Offset: r.offset},
 	}
+	f.state.Refused = lastOf(append(slices.Clone(f.state.Refused), refusal), maxRefused)
+	return Verdict{Outcome: OutcomeRefused, Refusal: &refusal}
 }
 
-// Sorted returns the entries in the order of their keys.
-func (s State) Sorted() []Entry {
-	out := make([]Entry, 0, len(s.Entries))
-	for _, e := range s.Entries {
-		out = append(out, e)
-	}
-	slices.SortFunc(out, func(a, b Entry) int {
-		return bytes.Compare([]byte(a.Key.String()), []byte(b.Key.String()))
-	})
-	return out
+func lastOf[T any](list []T, count int) []T {
+	return list[max(0, len(list)-count):]
 }
--- /dev/null
+++ b/internal/profile/fold_test.go
@@ -0,0 +1,325 @@
+package profile
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// history is a log together with the state after each record, as a reader
+// that started at offset 0 sees them.
+type history struct {
+	t       *rapid.T
+	fold    *Fold
+	records [][]byte
+	states  []State // by offset; zero before the anchor
+	lost    []int64 // what checkpoints of a lost log claim to cover
+}
+
+func (h *history) append(data []byte) Verdict {
+	v := h.fold.Apply(int64(len(h.records)), data)
+	h.records = append(h.records, data)
+	h.states = append(h.states, h.fold.State())
+	return v
+}
+
+func (h *history) record(kind RecordKind, edits []Edit, c *Checkpoint) []byte {
+	data, err := json.Marshal(Record{
+		ID: fmt.Sprintf("id-%d", len(h.records)), Kind: kind, Schema: SchemaVersion, Author: "ana",
+		Time: time.Unix(int64(len(h.records)), 0).UTC(), Edits: edits, Checkpoint: c,
+	})
+	assert.NilError(h.t, err)
+	return data
+}
+
+func profileText(name string, seconds int) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"kind":"profile","name":%q,"routes":[{"name":"r","service":%q,"pathPrefix":"/a&b"}],"policy":{"timeout":"%ds"}}`, name, name, seconds))
+}
+
+func selectionText(service, chosen string) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"kind":"selection","service":%q,"profile":%q}`, service, chosen))
+}
+
+func (h *history) drawEdit() Edit {
+	name := rapid.SampledFrom([]string{"agenda", "acervo", "vitrine"})
+	e := Edit{Op: OpPublish, Key: Key{Kind: KindProfile, Name: name.Draw(h.t, "name")}}
+	e.Document = profileText(e.Key.Name, rapid.IntRange(1, 9).Draw(h.t, "seconds"))
+	switch rapid.IntRange(0, 5).Draw(h.t, "edit") {
+	case 0:
+		e.Key.Kind = KindSelection
+		e.Document = selectionText(e.Key.Name, name.Draw(h.t, "chosen"))
+	case 1:
+		e.Op, e.Document = OpRetire, nil
+	case 2:
+		e.Document = json.RawMessage(`{"kind":"profile","name":"Not A Name"}`)
+	}
+	if have, ok := h.fold.State().Live(e.Key); ok {
+		e.Base = &have.Version
+	}
+	if rapid.IntRange(0, 5).Draw(h.t, "stale") == 0 {
+		e.Base = &Version{Era: 1, Number: uint64(rapid.IntRange(1, 3).Draw(h.t, "base"))}
+	}
+	return e
+}
+
+// drawRecord returns any record that a log may hold.
+func (h *history) drawRecord() []byte {
+	edits := []Edit{h.drawEdit()}
+	if rapid.Bool().Draw(h.t, "two edits") {
+		edits = append(edits, h.drawEdit())
+	}
+	change := h.record(RecordChange, edits, nil)
+	switch rapid.IntRange(0, 11).Draw(h.t, "record") {
+	case 0:
+		return []byte(rapid.SampledFrom([]string{"", "{", "{}", `{"id":"x","kind":"other"}`, `{"id":"x","kind":"checkpoint"}`}).Draw(h.t, "unreadable"))
+	case 1:
+		return h.record(RecordGenesis, nil, nil)
+	case 2, 3, 4, 5:
+		return h.drawCheckpoint(change)
+	case 6:
+		if len(h.records) > 0 {
+			return rapid.SampledFrom(h.records).Draw(h.t, "repeat")
+		}
+	}
+	return change
+}
+
+// drawCheckpoint returns a checkpoint of this log, one that starts an era, or
+// one of a lost log.
+func (h *history) drawCheckpoint(otherwise []byte) []byte {
+	if !h.fold.Anchored() {
+		return otherwise
+	}
+	s := rapid.SampledFrom(h.states).Draw(h.t, "state")
+	if len(s.Entries) == 0 && s.Position.Era == 0 {
+		return otherwise
+	}
+	c := CheckpointOf(s)
+	switch rapid.IntRange(0, 5).Draw(h.t, "checkpoint") {
+	case 0:
+		c.Era, c.Through, c.ThroughID = h.fold.State().Position.Era+1, NoOffset, ""
+	case 1:
+		c.Through, c.ThroughID = rapid.Int64Range(0, 40).Draw(h.t, "through"), "id-lost"
+		h.lost = append(h.lost, c.Through)
+	}
+	return h.record(RecordCheckpoint, nil, c)
+}
+
+func drawHistory(t *rapid.T) *history {
+	h := &history{t: t, fold: NewFold(logStart)}
+	for range rapid.IntRange(0, 2).Draw(t, "before the anchor") {
+		h.append(h.record(RecordChange, []Edit{h.drawEdit()}, nil))
+	}
+	if rapid.Bool().Draw(t, "restarted log") {
+		s := State{Position: Position{Era: 1, Offset: NoOffset}, Entries: map[Key]Entry{}}
+		c := CheckpointOf(s)
+		c.Era = 2
+		h.append(h.record(RecordCheckpoint, nil, c))
+	} else {
+		h.append(h.record(RecordGenesis, nil, nil))
+	}
+	for range rapid.IntRange(5, 30).Draw(t, "records") {
+		h.append(h.drawRecord())
+	}
+	return h
+}
+
+// digest is the whole state in one form, whatever shares memory in it.
+func digest(t assert.TestingT, s State) string {
+	b, err := json.Marshal(CheckpointOf(s))
+	assert.NilError(t, err)
+	return string(b)
+}
+
+// Guards against readers that reach different states on one log: started from
+// a checkpoint after the records before it expired, given repeated batches, or
+// continued from a copied state.
+func TestEveryReaderReachesTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := drawHistory(t)
+		first := rapid.IntRange(0, len(h.records)-1).Draw(t, "first retained")
+		if slices.Contains(h.lost, int64(first)-1) {
+			return // the record that tells the lost log apart has expired
+		}
+		f := NewFold(int64(first))
+		for i := first; i < len(h.records); i++ {
+			f.Apply(int64(i), h.records[i])
+			if back := rapid.IntRange(0, 3).Draw(t, "repeat"); back > 0 && i-back >= first {
+				assert.Equal(t, f.Apply(int64(i-back), h.records[i-back]).Outcome, OutcomeOutOfOrder)
+			}
+			if !f.Anchored() {
+				continue
+			}
+			assert.Equal(t, digest(t, f.State()), digest(t, h.states[i]), "from %d at %d", first, i)
+			if rapid.IntRange(0, 5).Draw(t, "copy") == 0 {
+				s, err := CheckpointOf(f.State()).State()
+				assert.NilError(t, err)
+				f = NewFoldFrom(s)
+			}
+		}
+	})
+}
+
+// Guards against half of a change, a version that falls, and a position that
+// goes back.
+func TestChangesAreWholeAndVersionsRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := drawHistory(t)
+		f := NewFold(logStart)
+		for i, data := range h.records {
+			before, text := f.State(), ""
+			if f.Anchored() {
+				text = digest(t, before)
+			}
+			v := f.Apply(int64(i), data)
+			after := f.State()
+			if text == "" {
+				continue
+			}
+			assert.Equal(t, digest(t, before), text, "a published state was changed")
+			assert.Assert(t, after.Position.Compare(before.Position) > 0)
+			for k, e := range before.Entries {
+				assert.Assert(t, after.Entries[k].Version.Compare(e.Version) >= 0, "%s", k)
+			}
+			checkWhole(t, data, v, before, after)
+		}
+	})
+}
+
+func checkWhole(t *rapid.T, data []byte, v Verdict, before, after State) {
+	var rec Record
+	if json.Unmarshal(data, &rec) != nil || rec.Kind != RecordChange {
+		return
+	}
+	for _, e := range rec.Edits {
+		moved := after.Entries[e.Key].Version.Compare(before.Entries[e.Key].Version) > 0
+		assert.Equal(t, moved, v.Outcome == OutcomeAccepted, "%s after outcome %d", e.Key, v.Outcome)
+	}
+	if v.Outcome != OutcomeAccepted {
+		assert.Equal(t, entriesText(t, after), entriesText(t, before))
+	}
+}
+
+func entriesText(t assert.TestingT, s State) string {
+	b, err := json.Marshal(s.Sorted())
+	assert.NilError(t, err)
+	return string(b)
+}
+
+// foldRecords folds a written log, one record an item.
+func foldRecords(first int64, records ...string) *Fold {
+	f := NewFold(first)
+	for i, r := range records {
+		f.Apply(first+int64(i), []byte(r))
+	}
+	return f
+}
+
+const (
+	genesisText = `{"id":"g","kind":"genesis","schema":1}`
+	changeText  = `{"id":"c","kind":"change","schema":1,"author":"ana","edits":[{"op":"publish","key":{"kind":"profile","name":"agenda"},` +
+		`"document":{"kind":"profile","name":"agenda","routes":[{"name":"r","service":"agenda"}]}}]}`
+)
+
+func checkpointText(id string, era, through int, throughID, entries string) string {
+	return fmt.Sprintf(`{"id":%q,"kind":"checkpoint","schema":1,"checkpoint":{"era":%d,"through":%d,"throughId":%q,"entries":[%s]}}`, id, era, through, throughID, entries)
+}
+
+func agendaEntry(era, number int) string {
+	return fmt.Sprintf(`{"key":{"kind":"profile","name":"agenda"},"version":{"era":%d,"number":%d},`+
+		`"document":{"kind":"profile","name":"agenda","routes":[{"name":"r","service":"agenda"}]}}`, era, number)
+}
+
+// Each case guards one rule of the fold that the properties meet rarely.
+func TestFoldRules(t *testing.T) {
+	cases := []struct {
+		name     string
+		fold     *Fold
+		anchored bool
+		position string
+		version  string // of profile agenda
+		refused  string // findings of the newest refusal
+	}{
+		{"unreadable record between checkpoint and its offset", foldRecords(5, "{", checkpointText("k", 1, 4, "", "")),
+			true, "1@6", "0.0", "unreadable record: unexpected end of JSON input"},
+		{"change before the first checkpoint of a restarted log", foldRecords(0, changeText, checkpointText("k", 2, -1, "", "")),
+			true, "2@1", "0.0", "log not anchored (allowed: changes after the genesis record or the checkpoint of a restarted log)"},
+		{"change before the genesis record", foldRecords(0, changeText, genesisText),
+			true, "1@1", "0.0", "log not anchored (allowed: changes after the genesis record or the checkpoint of a restarted log)"},
+		{"second genesis record after the first expired", foldRecords(3, genesisText), false, "0@0", "0.0", ""},
+		{"checkpoint that leaves a gap", foldRecords(9, checkpointText("k", 1, 7, "", "")), false, "0@0", "0.0", ""},
+		{"checkpoint that starts an era, read after a gap", foldRecords(9, checkpointText("k", 2, -1, "", "")), false, "0@0", "0.0", ""},
+		{"checkpoint of a lost log before any anchor", foldRecords(0, checkpointText("k", 1, 57, "", "")), false, "0@0", "0.0", ""},
+		{"checkpoint of a lost log told by the id it covers", foldRecords(3, changeText, checkpointText("k", 1, 3, "other", "")), false, "0@0", "0.0", ""},
+		{"checkpoint of a lost log after the anchor", foldRecords(0, genesisText, checkpointText("k", 1, 57, "", agendaEntry(1, 3))),
+			true, "1@1", "0.0", "checkpoint covers offset 57, which this log had not reached: it is of a lost log"},
+		{"next era after a lost log", foldRecords(0, checkpointText("k", 2, -1, "", agendaEntry(1, 3)), checkpointText("l", 3, -1, "", "")),
+			true, "3@1", "1.3", ""},
+		{"join of a first checkpoint that was behind", foldRecords(0, checkpointText("k", 2, -1, "", agendaEntry(1, 3)), checkpointText("l", 2, -1, "", agendaEntry(1, 4))),
+			true, "2@1", "1.4", ""},
+		{"join of a checkpoint that is behind", foldRecords(0, checkpointText("k", 2, -1, "", agendaEntry(1, 4)), checkpointText("l", 2, -1, "", agendaEntry(1, 3))),
+			true, "2@1", "1.4", ""},
+		{"checkpoint with an unreadable document", foldRecords(0, genesisText, checkpointText("k", 1, 0, "g", strings.ReplaceAll(agendaEntry(1, 1), "agenda\",\"r", "x\",\"r"))),
+			true, "1@1", "0.0", "unreadable record: checkpoint: profile/agenda holds another document than its key names"},
+		{"newer schema with a change after it", foldRecords(0, genesisText, `{"id":"n","schema":2,"kind":7}`, changeText), true, "1@0", "0.0", ""},
+		{"change of unknown kind", foldRecords(0, genesisText, `{"id":"n","kind":"other"}`), true, "1@1", "0.0", `unknown kind of record "other"`},
+		{"repeated id", foldRecords(0, genesisText, changeText, changeText), true, "1@2", "1.1", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := c.fold.State()
+			assert.Equal(t, c.fold.Anchored(), c.anchored)
+			assert.Equal(t, s.Position.String(), c.position)
+			assert.Equal(t, s.Entries[Key{Kind: KindProfile, Name: "agenda"}].Version.String(), c.version)
+			refused := ""
+			if n := len(s.Refused); n > 0 {
+				refused = s.Refused[n-1].Findings.Error()
+			}
+			assert.Equal(t, refused, c.refused)
+		})
+	}
+}
+
+// Guards against a broken reference, which a join of two lineages can leave
+// behind, blocking changes that have nothing to do with it.
+func TestBrokenReferenceBlocksOnlyItsOwnDocuments(t *testing.T) {
+	broken := `{"key":{"kind":"selection","name":"vitrine"},"version":{"era":1,"number":1},"document":{"kind":"selection","service":"vitrine","profile":"gone"}}`
+	f := foldRecords(0, checkpointText("k", 2, -1, "", broken))
+	assert.Equal(t, f.Apply(1, []byte(changeText)).Outcome, OutcomeAccepted)
+	again, err := json.Marshal(Record{ID: "d", Kind: RecordChange, Edits: []Edit{{
+		Op: OpPublish, Key: Key{Kind: KindSelection, Name: "vitrine"}, Base: &Version{Era: 1, Number: 1}, Document: selectionText("vitrine", "gone"),
+	}}})
+	assert.NilError(t, err)
+	assert.Equal(t, f.Apply(2, again).Outcome, OutcomeRefused)
+}
+
+// Guards against a join inside one lineage that changes the bounded lists, so
+// that a reader of the checkpoint would keep other ids than a reader of all.
+func TestJoinOfAnOlderStateChangesNothing(t *testing.T) {
+	var older, newer State
+	for i := range maxRecent + 10 {
+		id := fmt.Sprint(i)
+		if i < maxRecent {
+			older.Recent = append(older.Recent, id)
+		}
+		newer.Recent = lastOf(append(newer.Recent, id), maxRecent)
+	}
+	assert.DeepEqual(t, Join(newer, older).Recent, newer.Recent)
+}
+
+// Guards against a version that falls because a checkpoint holds a version of
+// a later era than its own.
+func TestVersionDoesNotFallBelowItsEra(t *testing.T) {
+	f := foldRecords(0, checkpointText("k", 2, -1, "", agendaEntry(3, 5)))
+	rec := Record{ID: "d", Kind: RecordChange, Edits: []Edit{{Op: OpPublish, Key: Key{Kind: KindProfile, Name: "agenda"}, Base: &Version{Era: 3, Number: 5}, Document: profileText("agenda", 1)}}}
+	data, err := json.Marshal(rec)
+	assert.NilError(t, err)
+	v := f.Apply(1, data)
+	assert.Equal(t, v.Accepted[0].Version.String(), "3.6")
+}
--- a/internal/profile/record.go
+++ b/internal/profile/record.go
@@ -94,11 +94,14 @@
 // retention. Through is the last offset that it covers in this log, NoOffset
 // when it covers none.
 type Checkpoint struct {
-	Era     uint32    `json:"era"`
-	Through int64     `json:"through"`
-	Entries []Entry   `json:"entries"`
-	Recent  []string  `json:"recent,omitempty"` // ids of the latest changes, to recognise repeats
-	Refused []Refusal `json:"refused,omitempty"`
+	Era     uint32 `json:"era"`
+	Through int64  `json:"through"`
+	// ThroughID is the id of the record at Through. A checkpoint that reached
+	// a restarted log late is recognised by it.
+	ThroughID string    `json:"throughId,omitempty"`
+	Entries   []Entry   `json:"entries"`
+	Recent    []string  `json:"recent,omitempty"` // ids of the latest changes, to recognise repeats
+	Refused   []Refusal `json:"refused,omitempty"`
 }
 
 // NoOffset stands before the first offset of a log.
@@ -113,6 +116,8 @@
 	Author   string          `json:"author,omitempty"`
 	Time     time.Time       `json:"time"`
 	RecordID string          `json:"recordId"`
+
+	doc *Document // parsed Document, shared by all copies; nil until resolved
 }
 
 // Refusal is a change that the fold refused, with every reason.
