--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -46,8 +46,9 @@
 	http *http.Client
 }
 
-// appendTimeout bounds one append; the writer looks the record up after it.
-const appendTimeout = 5 * time.Second
+// AppendTimeout bounds one append. A record that is not in the log by a read
+// that begins later counts as not appended.
+const AppendTimeout = 5 * time.Second
 
 // NewClient returns a client of the log at an address (host:port). A nil
 // transport stands for one of its own.
@@ -60,7 +61,7 @@
 
 // Append implements Log.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, AppendTimeout)
 	defer cancel()
 	// The body cannot be rewound and a connection in hand counts as sent, so
 	// neither the transport nor the caller repeats an append that may stand.
@@ -88,26 +89,29 @@
 }
 
 func decodeAppend(resp *http.Response) (int64, error) {
-	switch {
-	case resp.StatusCode == http.StatusOK:
+	if resp.StatusCode == http.StatusOK {
 		var out AppendResponse
 		if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
 			return 0, errors.Mark(errors.Wrap(err, "append: read answer"), ErrUnknown)
 		}
 		return out.Offset, nil
-	case resp.StatusCode == http.StatusGatewayTimeout:
-		return 0, errors.Mark(errors.New("append: the service timed out"), ErrUnknown)
 	}
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
-	return 0, errors.Mark(errors.Newf("append: status %d: %s", resp.StatusCode, bytes.TrimSpace(text)), ErrNotApplied)
+	err := errors.Newf("append: status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
+	// Only these answers say that the service did not apply the record; any
+	// other server error may have come after the effect.
+	if resp.StatusCode < http.StatusInternalServerError || resp.StatusCode == http.StatusServiceUnavailable {
+		return 0, errors.Mark(err, ErrNotApplied)
+	}
+	return 0, errors.Mark(err, ErrUnknown)
 }
 
-// readGrace is added to the wait of a long poll before a read is given up.
-const readGrace = 5 * time.Second
+// ReadGrace is added to the wait of a long poll before a read is given up.
+const ReadGrace = 5 * time.Second
 
 // Read implements Log.
 func (c *Client) Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+	ctx, cancel := context.WithTimeout(ctx, wait+ReadGrace)
 	defer cancel()
 	url := fmt.Sprintf("%s/v1/streams/%s/records?from=%d&max=%d&waitMs=%s", c.base, stream, from, max,
 		strconv.FormatInt(wait.Milliseconds(), 10))
@@ -134,13 +138,23 @@
 		return Batch{}, errors.Mark(errors.Wrap(err, "read: decode answer"), ErrUnavailable)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return Batch{}, errors.WithStack(&RangeError{Epoch: out.Epoch, From: from, First: out.First, Next: out.Next})
+		return Batch{}, errors.WithStack(out.RangeError(from))
 	}
-	b := Batch{Epoch: out.Epoch, First: out.First, Next: out.Next, Retention: time.Duration(out.RetentionMs) * time.Millisecond}
-	for _, r := range out.Records {
-		b.Entries = append(b.Entries, Entry{Offset: r.Offset, Time: time.UnixMilli(r.TimeMs), Data: r.Data})
+	return out.Batch(), nil
+}
+
+// Batch returns the answer as the Log interface gives it.
+func (r ReadResponse) Batch() Batch {
+	b := Batch{Epoch: r.Epoch, First: r.First, Next: r.Next, Retention: time.Duration(r.RetentionMs) * time.Millisecond}
+	for _, w := range r.Records {
+		b.Entries = append(b.Entries, Entry{Offset: w.Offset, Time: time.UnixMilli(w.TimeMs), Data: w.Data})
 	}
-	return b, nil
+	return b
+}
+
+// RangeError returns the error for a read from an offset outside the range.
+func (r ReadResponse) RangeError(from int64) *RangeError {
+	return &RangeError{Epoch: r.Epoch, From: from, First: r.First, Next: r.Next}
 }
 
 // drainClose reads a short rest so that the connection can be used again.
--- /dev/null
+++ b/internal/standin/direct.go
@@ -0,0 +1,75 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+)
+
+// direct serves a Log in the same process, with the same faults and no
+// network, so that tests can run it in virtual time.
+type direct struct {
+	log *Log
+}
+
+// Direct returns the log as a platformlog.Log without a network between.
+func (l *Log) Direct() platformlog.Log { return direct{log: l} }
+
+// appendResult is what became of an append.
+type appendResult struct {
+	out  platformlog.AppendResponse
+	lost bool
+	err  error
+}
+
+// Append implements platformlog.Log. A slow append takes effect even when its
+// caller has given up.
+func (d direct) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	if len(data) > platformlog.MaxRecordBytes {
+		return 0, errors.Mark(errors.New("append: record too large"), platformlog.ErrNotApplied)
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformlog.AppendTimeout)
+	defer cancel()
+	done := make(chan appendResult, 1)
+	go func() {
+		var r appendResult
+		if r.err = d.log.delay(context.WithoutCancel(ctx)); r.err == nil {
+			r.out, r.lost = d.log.append(stream, data)
+		}
+		done <- r
+	}()
+	select {
+	case r := <-done:
+		return r.outcome()
+	case <-ctx.Done():
+		return 0, errors.Mark(errors.Wrap(ctx.Err(), "append"), platformlog.ErrUnknown)
+	}
+}
+
+func (r appendResult) outcome() (int64, error) {
+	switch {
+	case r.err != nil:
+		return 0, errors.Mark(errors.Wrap(r.err, "append"), platformlog.ErrNotApplied)
+	case r.lost:
+		return 0, errors.Mark(errors.New("append: connection cut"), platformlog.ErrUnknown)
+	}
+	return r.out.Offset, nil
+}
+
+// Read implements platformlog.Log.
+func (d direct) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platformlog.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+platformlog.ReadGrace)
+	defer cancel()
+	status, out, err := d.log.poll(ctx, stream, from, limit, wait)
+	if err != nil {
+		return platformlog.Batch{}, errors.Mark(errors.Wrap(err, "read"), platformlog.ErrUnavailable)
+	}
+	if status != http.StatusOK {
+		return platformlog.Batch{}, errors.WithStack(out.RangeError(from))
+	}
+	return out.Batch(), nil
+}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
@@ -115,34 +117,40 @@
 	s.first += n
 }
 
-// admit applies the delay and the outage; it reports whether to serve.
-func (l *Log) admit(w http.ResponseWriter, r *http.Request) bool {
+// errDown is the answer of a log that is down.
+var errDown = errors.New("the log is down")
+
+// delay applies the faults that come before the work of a request.
+func (l *Log) delay(ctx context.Context) error {
 	l.mu.Lock()
 	f := l.faults
 	l.mu.Unlock()
 	if f.SlowMs > 0 {
+		t := time.NewTimer(time.Duration(f.SlowMs) * time.Millisecond)
+		defer t.Stop()
 		select {
-		case <-time.After(time.Duration(f.SlowMs) * time.Millisecond):
-		case <-r.Context().Done():
-			return false
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 	}
 	if f.Down {
-		http.Error(w, "the log is down", http.StatusServiceUnavailable)
-		return false
+		return errDown
 	}
-	return true
+	return nil
 }
 
 func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
-	if !l.admit(w, r) {
-		return
-	}
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platformlog.MaxRecordBytes))
 	if err != nil {
 		http.Error(w, "record too large or cut short", http.StatusRequestEntityTooLarge)
 		return
 	}
+	// A slow log applies a record even when the caller has given up by then.
+	if err := l.delay(context.WithoutCancel(r.Context())); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	out, lost := l.append(r.PathValue("stream"), data)
 	if lost {
 		panic(http.ErrAbortHandler) // cuts the connection without an answer
@@ -167,32 +175,40 @@
 }
 
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
-	if !l.admit(w, r) {
-		return
-	}
 	q := r.URL.Query()
 	from, err1 := strconv.ParseInt(q.Get("from"), 10, 64)
 	limit, err2 := strconv.Atoi(q.Get("max"))
 	waitMs, err3 := strconv.Atoi(q.Get("waitMs"))
-	if err1 != nil || err2 != nil || err3 != nil || from < 0 || limit < 1 {
+	if err1 != nil || err2 != nil || err3 != nil || from < 0 || limit < 1 || waitMs < 0 {
 		http.Error(w, "want from, max and waitMs as whole numbers", http.StatusBadRequest)
 		return
 	}
-	deadline := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
+	status, out, err := l.poll(r.Context(), r.PathValue("stream"), from, limit, time.Duration(waitMs)*time.Millisecond)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, status, out)
+}
+
+// poll reads, and waits for records while there are none.
+func (l *Log) poll(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (int, platformlog.ReadResponse, error) {
+	if err := l.delay(ctx); err != nil {
+		return 0, platformlog.ReadResponse{}, err
+	}
+	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
-		status, out, grown := l.read(r.PathValue("stream"), from, limit)
-		if status != http.StatusOK || len(out.Records) > 0 {
-			writeJSON(w, status, out)
-			return
+		status, out, grown := l.read(stream, from, limit)
+		if status != http.StatusOK || len(out.Records) > 0 || wait <= 0 {
+			return status, out, nil
 		}
 		select {
 		case <-grown:
 		case <-deadline.C:
-			writeJSON(w, status, out)
-			return
-		case <-r.Context().Done():
-			return
+			return status, out, nil
+		case <-ctx.Done():
+			return 0, platformlog.ReadResponse{}, ctx.Err()
 		}
 	}
 }
