--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/shard"
 )
@@ -57,11 +58,15 @@
 // Table holds the newest entry of each member, sharded by id.
 type Table struct {
 	members *shard.Map[Member]
+	gone    *shard.Map[time.Time] // when Compact first saw a member dead or left
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{members: shard.NewMap[Member](shard.DefaultCount)}
+	return &Table{
+		members: shard.NewMap[Member](shard.DefaultCount),
+		gone:    shard.NewMap[time.Time](shard.DefaultCount),
+	}
 }
 
 // Merge takes over the entries that are newer than the ones held and returns
@@ -80,6 +85,18 @@
 	return changed
 }
 
+// Revise changes an entry in one step and returns the result. It reports false
+// when there is no such entry.
+func (t *Table) Revise(id string, change func(Member) Member) (out Member, ok bool) {
+	t.members.Update(id, func(have Member, present bool) (Member, bool) {
+		if ok = present; ok {
+			out = change(have)
+		}
+		return out, ok
+	})
+	return out, ok
+}
+
 // Get returns the entry of a member.
 func (t *Table) Get(id string) (Member, bool) { return t.members.Get(id) }
 
--- /dev/null
+++ b/internal/membership/ring.go
@@ -0,0 +1,151 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// linksPerNode is how many links a node opens. Links are used both ways,
+	// so the mean degree is twice this.
+	linksPerNode = 4
+	// readersPerRegion is two, so that the death of one delays no change.
+	readersPerRegion = 2
+	// fewNeighbours is the number of neighbours below which one suspicion
+	// decides, since a second one may never come.
+	fewNeighbours = 3
+)
+
+// Topology is a node's place among the members: whom it links to and which
+// members read the log. It is computed from one table and never changed.
+type Topology struct {
+	Neighbours []Member            // in the own region, in the order of ids
+	Bridges    []Member            // readers of other regions, set only for a reader
+	Readers    map[string][]string // ids by region, highest rank first
+}
+
+// NewTopology returns the topology of the node self among members.
+func NewTopology(self Member, members []Member) Topology {
+	live := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !m.Routable() })
+	t := Topology{Neighbours: Neighbours(self, members), Readers: map[string][]string{}}
+	for _, m := range live {
+		t.Readers[m.Region] = nil
+	}
+	for region := range t.Readers {
+		t.Readers[region] = Readers(region, live)
+	}
+	if t.IsReader(self) {
+		t.Bridges = bridges(self, live, t.Readers)
+	}
+	return t
+}
+
+// IsReader reports whether a member reads the log for its region.
+func (t Topology) IsReader(m Member) bool { return slices.Contains(t.Readers[m.Region], m.ID) }
+
+// Rank returns the place of a member among the readers of all regions, and
+// their number when it is none of them.
+func (t Topology) Rank(m Member) int {
+	regions := make([]string, 0, len(t.Readers))
+	for r := range t.Readers {
+		regions = append(regions, r)
+	}
+	slices.Sort(regions)
+	rank := 0
+	for _, r := range regions {
+		for _, id := range t.Readers[r] {
+			if id == m.ID {
+				return rank
+			}
+			rank++
+		}
+	}
+	return rank
+}
+
+func bridges(self Member, live []Member, readers map[string][]string) []Member {
+	var out []Member
+	for _, m := range live {
+		if m.Region != self.Region && slices.Contains(readers[m.Region], m.ID) {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, byID)
+	return out
+}
+
+// Readers returns the members of a region with the highest rendezvous hash.
+func Readers(region string, members []Member) []string {
+	type ranked struct {
+		id    string
+		score uint64
+	}
+	var all []ranked
+	for _, m := range members {
+		if m.Region == region && m.Routable() {
+			all = append(all, ranked{m.ID, xxhash.Sum64String("reader\x00" + region + "\x00" + m.ID)})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	var out []string
+	for _, r := range all[:min(len(all), readersPerRegion)] {
+		out = append(out, r.id)
+	}
+	return out
+}
+
+// Neighbours returns the members of the own region that the node has a link
+// with: those that it chose and those that chose it.
+func Neighbours(self Member, members []Member) []Member {
+	var region []Member
+	for _, m := range members {
+		if m.Region == self.Region && m.ID != self.ID && linked(m) {
+			region = append(region, m)
+		}
+	}
+	var out []Member
+	for _, m := range region {
+		if chooses(self, m, region) || chooses(m, self, region) {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, byID)
+	return out
+}
+
+// linked reports whether a member takes part in dissemination. A draining
+// node does until it leaves, since its calls in flight still need it.
+func linked(m Member) bool { return m.Routable() || m.Status == StatusDraining }
+
+// chooses reports whether to is among the members that from opens links to.
+// It stops at the first linksPerNode better ones, so that the links of a node
+// cost some hashes a member and not one for each pair of members.
+func chooses(from, to Member, region []Member) bool {
+	score := pairScore(from.ID, to.ID)
+	better := 0
+	for _, m := range region {
+		if m.ID == from.ID || m.ID == to.ID {
+			continue
+		}
+		if s := pairScore(from.ID, m.ID); s > score || s == score && m.ID < to.ID {
+			better++
+		}
+		if better >= linksPerNode {
+			return false
+		}
+	}
+	return true
+}
+
+func pairScore(a, b string) uint64 {
+	if b < a {
+		a, b = b, a
+	}
+	return xxhash.Sum64String("link\x00" + a + "\x00" + b)
+}
+
+func byID(a, b Member) int { return cmp.Compare(a.ID, b.ID) }
