Spread the configuration between nodes instead of reading it everywhere

Cause: every node polled the log, 870 long polls at the design size. Change: two readers per region follow the log; the others get records by announce and pull, a delta from the last 256 records or the full state, at most 4 of those at once. The agent is split by job: core (the fold), reader, relay, checkpointer, membership loop, gossip, members stream, start rule, builder, status. node/peers.go wires it. Figures: before, each node made 2 long polls; now a node that is no reader makes none after its start.

--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -1,153 +1,145 @@
+// Package distribution brings the configuration and the members to every
+// node. Two nodes per region read the platform's log; the others get records
+// from their neighbours.
 package distribution
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
+	"sync"
 	"sync/atomic"
+	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/peer"
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/shard"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
 
-// Agent keeps one node's configuration and members up to date. One goroutine
-// owns the fold; other goroutines see the published State.
-type Agent struct {
-	log     platformlog.Log
-	self    membership.Member
-	table   *membership.Table
-	holder  *snapshot.Holder
-	logger  *slog.Logger
-	state   atomic.Pointer[profile.State]
-	changed chan struct{} // capacity 1: a rebuild is due
+// Peers reaches other nodes; *peer.Pool implements it.
+type Peers interface {
+	Hello(ctx context.Context, address string) (peer.HelloAnswer, error)
+	Probe(ctx context.Context, m membership.Member, silent bool) (peer.HelloAnswer, error)
+	Drop(id string)
+	Heartbeat(ctx context.Context, m membership.Member, h peer.Heartbeat) error
+	Announce(ctx context.Context, m membership.Member, a peer.Announce) error
+	Members(ctx context.Context, m membership.Member, e peer.MemberEntries) error
+	Pull(ctx context.Context, m membership.Member, r peer.PullRequest) (peer.PullAnswer, error)
+	MemberTable(ctx context.Context, m membership.Member) (peer.MemberTable, error)
+	Status(ctx context.Context, m membership.Member, r peer.StatusRequest) (peer.StatusAnswer, error)
 }
 
-// NewAgent returns an Agent of the node self.
-func NewAgent(log platformlog.Log, self membership.Member, table *membership.Table, holder *snapshot.Holder, logger *slog.Logger) *Agent {
-	return &Agent{log: log, self: self, table: table, holder: holder, logger: logger, changed: make(chan struct{}, 1)}
+// Config holds what an Agent works with.
+type Config struct {
+	Self   membership.Member
+	Log    platformlog.Log
+	Peers  Peers
+	Seeds  []string // addresses to try when the log does not answer
+	Table  *membership.Table
+	Holder *snapshot.Holder
+	Logger *slog.Logger
 }
 
-// State returns the configuration that the node holds, or nil.
-func (a *Agent) State() *profile.State { return a.state.Load() }
+// Agent keeps one node's configuration and members up to date. Each loop has
+// its own file; they share the published state, the table and the maps below.
+type Agent struct {
+	Config
+	core     *core
+	topology atomic.Pointer[membership.Topology]
+	roles    *notice // raised when the topology changed
+	detector *membership.Detector
+	heard    *shard.Map[profile.Position] // newest position that each node told
+	differs  *shard.Map[time.Time]        // since when a neighbour's digest has differed
+	busy     *shard.Map[bool]             // nodes that a heartbeat or probe is on its way to
+	digest   atomic.Uint64                // of the table, renewed each heartbeat
 
-// Run runs the loops until the context ends.
-func (a *Agent) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var g run.Group
-	add := func(f func(context.Context) error) {
-		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
-	}
-	add(a.followConfig)
-	add(a.followMembers)
-	add(a.announce)
-	add(a.build)
-	return g.Run()
-}
+	changed  chan struct{} // a build is due
+	members  chan struct{} // the table changed
+	pullDue  chan struct{} // a node told a higher position
+	outbox   *shard.Map[outgoing]
+	transfer chan struct{} // slots for transfers of full state
+	packed   atomic.Pointer[packedState]
 
-func (a *Agent) followConfig(ctx context.Context) error {
-	fold := profile.NewFold(firstOffset)
-	return follow(ctx, a.log, platformlog.StreamConfig, a.logger, func(b platformlog.Batch, from int64) int64 {
-		for _, e := range b.Entries {
-			fold.Apply(e.Offset, e.Data)
-			from = e.Offset + 1
-		}
-		if len(b.Entries) > 0 && fold.Anchored() {
-			s := fold.State()
-			a.state.Store(&s)
-			a.requestBuild()
-		}
-		return from
-	})
+	tasks     tasks
+	base      context.Context // ends with Run
+	stop      context.CancelFunc
+	found     chan struct{} // closed once the node looked for peers
+	foundOnce sync.Once
+	ready     atomic.Bool
+	readyDone chan struct{}
+	retention atomic.Int64 // of the log, in ns; 0 until a reader has seen it
 }
 
-func (a *Agent) followMembers(ctx context.Context) error {
-	return follow(ctx, a.log, platformlog.StreamMembers, a.logger, func(b platformlog.Batch, from int64) int64 {
-		var members []membership.Member
-		for _, e := range b.Entries {
-			from = e.Offset + 1
-			var m membership.Member
-			if err := json.Unmarshal(e.Data, &m); err != nil || m.ID == "" {
-				a.logger.Warn("announcement_unreadable", "offset", e.Offset)
-				continue
-			}
-			members = append(members, m)
-		}
-		if len(a.table.Merge(members)) > 0 {
-			a.requestBuild()
-		}
-		return from
-	})
+// NewAgent returns an Agent.
+func NewAgent(cfg Config) *Agent {
+	a := &Agent{
+		Config: cfg, core: newCore(cfg.Logger), roles: newNotice(), detector: membership.NewDetector(),
+		heard:   shard.NewMap[profile.Position](shard.DefaultCount),
+		differs: shard.NewMap[time.Time](shard.DefaultCount),
+		busy:    shard.NewMap[bool](shard.DefaultCount),
+		changed: make(chan struct{}, 1), members: make(chan struct{}, 1), pullDue: make(chan struct{}, 1),
+		outbox:    shard.NewMap[outgoing](shard.DefaultCount),
+		transfer:  make(chan struct{}, maxTransfers),
+		found:     make(chan struct{}),
+		readyDone: make(chan struct{}),
+	}
+	a.base, a.stop = context.WithCancel(context.Background())
+	a.Table.Merge([]membership.Member{cfg.Self})
+	a.renewTopology()
+	return a
 }
 
-func (a *Agent) announce(ctx context.Context) error {
-	a.table.Merge([]membership.Member{a.self})
-	a.requestBuild()
-	for attempt := 1; ; attempt++ {
-		err := a.Announce(ctx, a.self)
-		if err == nil {
-			break
-		}
-		a.logger.Warn("announce_failed", "error", err)
-		if !sleep(ctx, fullJitter(attempt)) {
-			return nil
-		}
+// State returns the configuration that the node applies, or nil.
+func (a *Agent) State() *profile.State {
+	if p := a.core.published.Load(); p != nil {
+		return &p.Applied
 	}
-	<-ctx.Done()
 	return nil
 }
 
-// Announce appends an entry of the own node to the members stream. Appending
-// it twice is harmless, so an unknown outcome counts as a failure.
-func (a *Agent) Announce(ctx context.Context, m membership.Member) error {
-	data, err := json.Marshal(m)
-	if err != nil {
-		return errors.Wrap(err, "announce")
+// Position returns the position that the node holds.
+func (a *Agent) Position() (profile.Position, bool) {
+	if p := a.core.published.Load(); p != nil {
+		return p.position(), true
 	}
-	_, err = a.log.Append(ctx, platformlog.StreamMembers, data)
-	return errors.Wrap(err, "announce")
+	return profile.Position{}, false
 }
 
-// SetStatus announces a new status of the own node.
-func (a *Agent) SetStatus(ctx context.Context, status membership.Status) error {
-	self, _ := a.table.Get(a.self.ID)
-	self.Status = status
-	self.Sequence++
-	a.table.Merge([]membership.Member{self})
-	a.requestBuild()
-	return a.Announce(ctx, self)
-}
+// Ready reports whether the start rule has been met.
+func (a *Agent) Ready() bool { return a.ready.Load() }
+
+// ReadyDone returns a channel that is closed once the start rule is met.
+func (a *Agent) ReadyDone() <-chan struct{} { return a.readyDone }
 
-func (a *Agent) requestBuild() {
-	select {
-	case a.changed <- struct{}{}:
-	default: // one is due already and will see the newest state
+// Run runs the loops until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer a.tasks.close()
+	defer a.stop()
+	defer cancel()
+	var g run.Group
+	for _, loop := range []func(context.Context) error{
+		a.core.run, a.start, a.readConfig, a.readMembers, a.announceSelf, a.keepMembers, a.gossip,
+		a.announcePositions, a.pullChanges, a.writeCheckpoints, a.build,
+	} {
+		g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 	}
+	return g.Run()
 }
 
-// build makes a generation of the newest state and members after each change.
-func (a *Agent) build(ctx context.Context) error {
-	for number := uint64(1); ; number++ {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-a.changed:
-		}
-		s := a.state.Load()
-		if s == nil {
-			continue
-		}
-		g, found := snapshot.Build(number, *s, a.table.All())
-		if len(found) > 0 {
-			a.logger.Error("generation_refused", "position", s.Position.String(), "findings", found.Error())
-			continue
-		}
-		a.holder.Install(g)
-		a.logger.Info("generation_installed", "generation", g.Number, "position", g.Position.String(), "routes", len(g.Routes), "held_back", len(g.HeldBack))
+// self returns the own entry as it stands.
+func (a *Agent) self() membership.Member {
+	if m, ok := a.Table.Get(a.Self.ID); ok {
+		return m
 	}
+	return a.Self
 }
+
+// SelfEntry returns the own entry, for hello.
+func (a *Agent) SelfEntry() membership.Member { return a.self() }
+
+func (a *Agent) isReader() bool { return a.topology.Load().IsReader(a.Self) }
--- /dev/null
+++ b/internal/distribution/gossip.go
@@ -0,0 +1,201 @@
+package distribution
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/peer"
+)
+
+const (
+	// gossipEvery is how long changes are gathered into one batch.
+	gossipEvery = 100 * time.Millisecond
+	// gossipBytesPerSecond bounds the entries that a node sends, two thirds of
+	// its whole budget of 30 KB/s.
+	gossipBytesPerSecond = 20_000
+	gossipBurstBytes     = 20_000
+)
+
+// outgoing is a change that waits for the next batch. Of several changes of
+// one member only the newest is kept.
+type outgoing struct {
+	from      string // node that it came from
+	entry     *membership.Member
+	suspicion *membership.Suspicion
+}
+
+// Members merges entries and suspicions from another node.
+func (a *Agent) Members(m peer.MemberEntries) {
+	a.merge(m.From, m.Entries)
+	now := time.Now()
+	for _, s := range m.Suspicions {
+		a.hearSuspicion(m.From, s, now)
+	}
+}
+
+// merge takes over entries that are news and queues them for the neighbours.
+func (a *Agent) merge(from string, entries []membership.Member) {
+	var others []membership.Member
+	for _, e := range entries {
+		if e.ID == a.Self.ID {
+			a.refute(e)
+			continue
+		}
+		others = append(others, e)
+	}
+	changed := a.Table.Merge(others)
+	for _, e := range changed {
+		a.outbox.Set("entry\x00"+e.ID, outgoing{from: from, entry: &e})
+	}
+	if len(changed) > 0 {
+		a.tableChanged()
+	}
+}
+
+func (a *Agent) tableChanged() {
+	wake(a.members)
+	a.requestBuild()
+}
+
+// refute answers an entry about the own node that is newer than its own.
+func (a *Agent) refute(heard membership.Member) {
+	refuted := false
+	self, _ := a.Table.Revise(a.Self.ID, func(have membership.Member) membership.Member {
+		have, refuted = membership.Refute(have, heard)
+		return have
+	})
+	if refuted {
+		a.sendSelf(self)
+	}
+}
+
+func (a *Agent) hearSuspicion(from string, s membership.Suspicion, now time.Time) {
+	if s.ID == a.Self.ID {
+		a.refute(membership.Member{ID: s.ID, Incarnation: s.Incarnation, Sequence: s.Sequence, Status: membership.StatusDead})
+		return
+	}
+	have, ok := a.Table.Get(s.ID)
+	if ok && a.detector.Suspect(s, have, now) {
+		a.sendSuspicion(s, from)
+	}
+}
+
+func (a *Agent) sendSuspicion(s membership.Suspicion, from string) {
+	a.outbox.Set("suspicion\x00"+s.ID+"\x00"+s.By, outgoing{from: from, suspicion: &s})
+}
+
+func (a *Agent) sendSelf(self membership.Member) {
+	a.outbox.Set("entry\x00"+self.ID, outgoing{from: self.ID, entry: &self})
+	a.tableChanged()
+}
+
+// SetStatus announces a new status of the own node: to the neighbours at once
+// and on the log.
+func (a *Agent) SetStatus(ctx context.Context, status membership.Status) error {
+	self, _ := a.Table.Revise(a.Self.ID, func(m membership.Member) membership.Member {
+		m.Status = status
+		m.Sequence++
+		return m
+	})
+	a.sendSelf(self)
+	a.sendBatch(ctx, peer.MemberEntries{From: a.Self.ID, Entries: []membership.Member{self}}, nil)
+	return a.appendEntry(ctx, self)
+}
+
+// gossip sends the queued changes in batches within the byte budget.
+func (a *Agent) gossip(ctx context.Context) error {
+	budget := rate.NewLimiter(gossipBytesPerSecond, gossipBurstBytes)
+	tick := time.NewTicker(gossipEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		batch, sources := a.takeBatch(budget, time.Now())
+		if len(batch.Entries)+len(batch.Suspicions) > 0 {
+			a.sendBatch(ctx, batch, sources)
+		}
+	}
+}
+
+// takeBatch removes from the queue what the budget allows. sources tells from
+// which node each entry came.
+func (a *Agent) takeBatch(budget *rate.Limiter, now time.Time) (peer.MemberEntries, map[string]string) {
+	links := len(a.links())
+	batch, sources := peer.MemberEntries{From: a.Self.ID}, map[string]string{}
+	if links == 0 {
+		return batch, sources
+	}
+	for _, key := range a.queued() {
+		o, _ := a.outbox.Get(key)
+		if !budget.AllowN(now, min(o.size()*links, gossipBurstBytes)) {
+			break
+		}
+		a.outbox.Update(key, func(have outgoing, ok bool) (outgoing, bool) {
+			return have, ok && have != o // a newer change stays for the next batch
+		})
+		if o.entry != nil {
+			batch.Entries = append(batch.Entries, *o.entry)
+			sources[o.entry.ID] = o.from
+		} else {
+			batch.Suspicions = append(batch.Suspicions, *o.suspicion)
+		}
+	}
+	return batch, sources
+}
+
+// queued returns the keys of the queue, suspicions last: the entry that
+// refutes one goes before it.
+func (a *Agent) queued() []string {
+	var keys []string
+	a.outbox.Range(func(key string, _ outgoing) bool {
+		keys = append(keys, key)
+		return true
+	})
+	slices.Sort(keys)
+	return keys
+}
+
+func (o outgoing) size() int {
+	var v any = o.entry
+	if o.entry == nil {
+		v = o.suspicion
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		return 0
+	}
+	return len(data)
+}
+
+// links returns the nodes that the node exchanges entries with.
+func (a *Agent) links() []membership.Member {
+	t := a.topology.Load()
+	return slices.Concat(t.Neighbours, t.Bridges)
+}
+
+// sendBatch sends a batch to every linked node, without the entries that came
+// from that node.
+func (a *Agent) sendBatch(ctx context.Context, batch peer.MemberEntries, sources map[string]string) {
+	for _, m := range a.links() {
+		mine := batch
+		mine.Entries = slices.DeleteFunc(slices.Clone(batch.Entries), func(e membership.Member) bool { return sources[e.ID] == m.ID })
+		if len(mine.Entries)+len(mine.Suspicions) == 0 {
+			continue
+		}
+		a.tasks.run(func() {
+			ctx, cancel := context.WithTimeout(ctx, sendLimit)
+			defer cancel()
+			if err := a.Peers.Members(ctx, m, mine); err != nil {
+				a.Logger.Debug("members_failed", "node", m.ID, "error", err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/distribution/handler.go
@@ -0,0 +1,107 @@
+package distribution
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/peer"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+)
+
+const (
+	// maxTransfers bounds the full states that a node sends at once.
+	maxTransfers = 4
+	// transferRetry is the upper bound of the random wait of a refused node,
+	// about the time in which the transfers under way end.
+	transferRetry = 400 * time.Millisecond
+	// transferRetryLeast keeps a refused node from asking again at once.
+	transferRetryLeast = 20 * time.Millisecond
+)
+
+// packedState is a compressed full state, kept until the position moves.
+type packedState struct {
+	position profile.Position
+	data     []byte
+}
+
+// Hello answers the greeting of a node. The entry of the greeter is merged, so
+// that a new node is known before its announcement.
+func (a *Agent) Hello(_ context.Context, r peer.HelloRequest) (peer.HelloAnswer, error) {
+	if r.Node.ID != "" {
+		a.merge(r.Node.ID, []membership.Member{r.Node})
+	}
+	if r.Silent {
+		a.Peers.Drop(r.Node.ID)
+	}
+	answer := peer.HelloAnswer{Node: a.self()}
+	if p, ok := a.Position(); ok {
+		answer.Position = &p
+	}
+	return answer, nil
+}
+
+// Announce notes a position.
+func (a *Agent) Announce(m peer.Announce) { a.hear(m.ID, m.Position) }
+
+// Pull answers with the records after a position, or with the full state.
+func (a *Agent) Pull(_ context.Context, r peer.PullRequest) (peer.PullAnswer, error) {
+	p := a.core.published.Load()
+	if p == nil {
+		return peer.PullAnswer{RetryAfterMs: retryAfterMs()}, nil
+	}
+	if r.From == nil {
+		return a.sendFull(p)
+	}
+	if r.From.Compare(p.position()) >= 0 {
+		return peer.PullAnswer{Position: p.position()}, nil
+	}
+	records, ok := p.delta(*r.From)
+	if !ok {
+		return a.sendFull(p)
+	}
+	answer := peer.PullAnswer{Position: p.position()}
+	for _, rec := range records {
+		answer.Records = append(answer.Records, peer.NewLogRecord(rec.Offset, rec.Data))
+	}
+	return answer, nil
+}
+
+func (a *Agent) sendFull(p *published) (peer.PullAnswer, error) {
+	select {
+	case a.transfer <- struct{}{}:
+	default:
+		return peer.PullAnswer{Position: p.position(), RetryAfterMs: retryAfterMs()}, nil
+	}
+	release := func() { <-a.transfer }
+	packed, err := a.pack(p)
+	if err != nil {
+		release()
+		return peer.PullAnswer{}, err
+	}
+	return peer.PullAnswer{Position: packed.position, Full: packed.data, Sent: release}, nil
+}
+
+func retryAfterMs() int64 {
+	return (transferRetryLeast + rand.N(transferRetry)).Milliseconds()
+}
+
+// pack compresses a state once for all nodes that ask at this position.
+func (a *Agent) pack(p *published) (*packedState, error) {
+	if have := a.packed.Load(); have != nil && have.position == p.position() {
+		return have, nil
+	}
+	data, err := peer.PackState(fullOf(p))
+	if err != nil {
+		return nil, err
+	}
+	packed := &packedState{position: p.position(), data: data}
+	a.packed.Store(packed)
+	return packed, nil
+}
+
+// MemberTable answers with every entry.
+func (a *Agent) MemberTable(context.Context) (peer.MemberTable, error) {
+	return peer.MemberTable{Entries: a.Table.All()}, nil
+}
--- /dev/null
+++ b/internal/distribution/start.go
@@ -0,0 +1,209 @@
+package distribution
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/peer"
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+)
+
+const (
+	// startSpread is the jitter of the reads of a starting node. A failure
+	// domain that restarts makes about 500 of them.
+	startSpread = time.Second
+	// startPeers is how many peers a starting node asks for their position.
+	startPeers = 5
+	// startAsk bounds the wait for these answers.
+	startAsk = time.Second
+	// startLogLimit bounds a read of the log during the start.
+	startLogLimit = 2 * time.Second
+	// startReach is how long a node tries to reach one target before it looks
+	// for a newer one.
+	startReach = 2 * time.Second
+	// startTables is how many peers are asked for their table at most.
+	startTables = 3
+)
+
+// target is what a node must hold before it serves.
+type target struct {
+	offset   int64            // last offset of the log, NoOffset when it is empty or silent
+	position profile.Position // highest position that a peer told
+}
+
+// start applies the start rule: the node serves only once it holds what the
+// log held, or, when the log does not answer, what its peers hold.
+func (a *Agent) start(ctx context.Context) error {
+	if !sleep(ctx, rand.N(startSpread)) {
+		return nil
+	}
+	for attempt := 1; !a.startOnce(ctx); attempt++ {
+		if !sleep(ctx, fullJitter(attempt)) {
+			return nil
+		}
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	a.ready.Store(true)
+	close(a.readyDone)
+	a.Logger.Info("ready", "position", a.State().Position.String())
+	<-ctx.Done()
+	return nil
+}
+
+// startOnce looks for a target and reports whether the node reached it.
+func (a *Agent) startOnce(ctx context.Context) bool {
+	a.findPeers(ctx)
+	a.foundOnce.Do(func() { close(a.found) })
+	t, ok := a.startTarget(ctx)
+	return ok && a.reach(ctx, t) || ctx.Err() != nil
+}
+
+// findPeers fills the table of a node that knows nobody.
+func (a *Agent) findPeers(ctx context.Context) {
+	if len(a.others()) > 0 {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, startLogLimit)
+	defer cancel()
+	if err := a.readPeers(limited); err != nil {
+		a.Logger.Warn("announcements_unread", "error", err)
+	}
+	if len(a.others()) == 0 {
+		a.askSeeds(ctx)
+	}
+	for _, m := range a.spread(startTables) {
+		if a.fetchTable(ctx, m) {
+			return
+		}
+	}
+}
+
+// readPeers merges the newest announcements.
+func (a *Agent) readPeers(ctx context.Context) error {
+	first, next, err := a.streamEnds(ctx, platformlog.StreamMembers)
+	if err != nil || next == first {
+		return err
+	}
+	from := max(first, next-tailRecords)
+	b, err := a.Log.Read(ctx, platformlog.StreamMembers, from, tailRecords, 0)
+	if err != nil {
+		return err
+	}
+	a.mergeAnnouncements(from, b)
+	return nil
+}
+
+func (a *Agent) askSeeds(ctx context.Context) {
+	for _, address := range a.Seeds {
+		limited, cancel := context.WithTimeout(ctx, startAsk)
+		answer, err := a.Peers.Hello(limited, address)
+		cancel()
+		if err != nil {
+			a.Logger.Debug("seed_failed", "address", address, "error", err)
+			continue
+		}
+		a.greeted(answer)
+	}
+}
+
+// others returns the members apart from the own node that may answer.
+func (a *Agent) others() []membership.Member {
+	var out []membership.Member
+	for _, m := range a.Table.All() {
+		if m.ID != a.Self.ID && m.Status != membership.StatusDead && m.Status != membership.StatusLeft {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// spread returns up to n random members, from as many failure domains as
+// there are: the own one may have restarted as a whole.
+func (a *Agent) spread(n int) []membership.Member {
+	byDomain := map[string][]membership.Member{}
+	var domains []string
+	all := a.others()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, m := range all {
+		if len(byDomain[m.FailureDomain]) == 0 {
+			domains = append(domains, m.FailureDomain)
+		}
+		byDomain[m.FailureDomain] = append(byDomain[m.FailureDomain], m)
+	}
+	var out []membership.Member
+	for round := 0; len(out) < min(n, len(all)); round++ {
+		for _, d := range domains {
+			if round < len(byDomain[d]) && len(out) < n {
+				out = append(out, byDomain[d][round])
+			}
+		}
+	}
+	return out
+}
+
+// startTarget asks the log and some peers. It reports false when neither
+// answers.
+func (a *Agent) startTarget(ctx context.Context) (target, bool) {
+	t := target{offset: profile.NoOffset}
+	limited, cancel := context.WithTimeout(ctx, startLogLimit)
+	defer cancel()
+	_, next, err := a.streamEnds(limited, platformlog.StreamConfig)
+	if err == nil {
+		t.offset = next - 1
+	}
+	position, answered := a.askPositions(ctx)
+	t.position = position
+	return t, err == nil || answered
+}
+
+// askPositions asks some peers at once and returns the highest position.
+func (a *Agent) askPositions(ctx context.Context) (highest profile.Position, answered bool) {
+	ctx, cancel := context.WithTimeout(ctx, startAsk)
+	defer cancel()
+	peers := a.spread(startPeers)
+	answers := make([]*peer.HelloAnswer, len(peers))
+	var wg sync.WaitGroup
+	for i, m := range peers {
+		wg.Go(func() {
+			if answer, err := a.Peers.Probe(ctx, m, false); err == nil {
+				answers[i] = &answer
+			}
+		})
+	}
+	wg.Wait()
+	for _, answer := range answers {
+		if answer == nil {
+			continue
+		}
+		a.greeted(*answer)
+		if p := answer.Position; p != nil {
+			answered = true
+			if p.Compare(highest) > 0 {
+				highest = *p
+			}
+		}
+	}
+	return highest, answered
+}
+
+// reach waits until the node holds the target.
+func (a *Agent) reach(ctx context.Context, t target) bool {
+	limit := time.Now().Add(startReach)
+	for {
+		advanced := a.core.advanced.next()
+		p, ok := a.Position()
+		if ok && p.Offset >= t.offset && p.Compare(t.position) >= 0 {
+			return true
+		}
+		if left := time.Until(limit); left <= 0 || ctx.Err() != nil {
+			return false
+		}
+		waitFor(ctx, advanced, time.Until(limit))
+	}
+}
--- /dev/null
+++ b/internal/distribution/status.go
@@ -0,0 +1,155 @@
+package distribution
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/peer"
+)
+
+const (
+	// statusAtOnce bounds the nodes that one node asks at the same time.
+	statusAtOnce = 64
+	// statusSelf bounds one node's answer, statusDomain that of a member who
+	// asks its failure domain.
+	statusSelf   = time.Second
+	statusDomain = 3 * time.Second
+	// statusTries is how many members of a domain are asked to ask it.
+	statusTries = 2
+)
+
+// Status answers for the own node, its failure domain or the whole system.
+func (a *Agent) Status(ctx context.Context, r peer.StatusRequest) (peer.StatusAnswer, error) {
+	var rows []peer.StatusRow
+	switch r.Scope {
+	case peer.ScopeAll:
+		rows = a.statusAll(ctx)
+	case peer.ScopeDomain:
+		rows = a.statusOfDomain(ctx, a.present(a.Self.FailureDomain))
+	default:
+		rows = []peer.StatusRow{a.StatusRow()}
+	}
+	slices.SortFunc(rows, func(x, y peer.StatusRow) int { return cmp.Compare(x.ID, y.ID) })
+	return peer.StatusAnswer{Rows: rows}, nil
+}
+
+// StatusRow returns the own node's status.
+func (a *Agent) StatusRow() peer.StatusRow {
+	self := a.self()
+	row := rowOf(self)
+	row.Generation = a.Holder.Published()
+	row.Draining = self.Status == membership.StatusDraining
+	row.Ready = a.Ready() && !row.Draining
+	if p := a.core.published.Load(); p != nil {
+		position := p.position()
+		row.Position, row.NewSchema = &position, p.NewSchema
+		if n := len(p.Folded.Refused); n > 0 {
+			row.Refused = &p.Folded.Refused[n-1]
+		}
+	}
+	return row
+}
+
+func rowOf(m membership.Member) peer.StatusRow {
+	return peer.StatusRow{ID: m.ID, Service: m.Service, Region: m.Region, FailureDomain: m.FailureDomain}
+}
+
+// present returns the members of a failure domain, of all for "", that have
+// not left. A dead one is listed, so that operators see it.
+func (a *Agent) present(domain string) []membership.Member {
+	return slices.DeleteFunc(a.Table.All(), func(m membership.Member) bool {
+		return m.Status == membership.StatusLeft || domain != "" && m.FailureDomain != domain
+	})
+}
+
+// statusAll asks one member per failure domain to ask its domain.
+func (a *Agent) statusAll(ctx context.Context) []peer.StatusRow {
+	byDomain := map[string][]membership.Member{}
+	for _, m := range a.present("") {
+		byDomain[m.FailureDomain] = append(byDomain[m.FailureDomain], m)
+	}
+	var wg sync.WaitGroup
+	answers := make(chan []peer.StatusRow, len(byDomain))
+	for domain, members := range byDomain {
+		wg.Go(func() {
+			if domain == a.Self.FailureDomain {
+				answers <- a.statusOfDomain(ctx, members)
+				return
+			}
+			answers <- a.askDomain(ctx, members)
+		})
+	}
+	wg.Wait()
+	close(answers)
+	var rows []peer.StatusRow
+	for r := range answers {
+		rows = append(rows, r...)
+	}
+	return rows
+}
+
+// askDomain asks a member for its whole domain. When none answers, the
+// members are asked one by one. Members that its answer lacks are listed too.
+func (a *Agent) askDomain(ctx context.Context, members []membership.Member) []peer.StatusRow {
+	ask := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return m.Status == membership.StatusDead })
+	rand.Shuffle(len(ask), func(i, j int) { ask[i], ask[j] = ask[j], ask[i] })
+	for _, m := range ask[:min(len(ask), statusTries)] {
+		limited, cancel := context.WithTimeout(ctx, statusDomain)
+		answer, err := a.Peers.Status(limited, m, peer.StatusRequest{Scope: peer.ScopeDomain})
+		cancel()
+		if err == nil {
+			return withMissing(answer.Rows, members)
+		}
+	}
+	return a.statusOfDomain(ctx, members)
+}
+
+func withMissing(rows []peer.StatusRow, members []membership.Member) []peer.StatusRow {
+	for _, m := range members {
+		if !slices.ContainsFunc(rows, func(r peer.StatusRow) bool { return r.ID == m.ID }) {
+			row := rowOf(m)
+			row.Error = "not known to the member that was asked"
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// statusOfDomain asks every member, statusAtOnce of them at a time.
+func (a *Agent) statusOfDomain(ctx context.Context, members []membership.Member) []peer.StatusRow {
+	rows := make([]peer.StatusRow, len(members))
+	slots := make(chan struct{}, statusAtOnce)
+	var wg sync.WaitGroup
+	for i, m := range members {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			rows[i] = a.askStatus(ctx, m)
+		})
+	}
+	wg.Wait()
+	return rows
+}
+
+func (a *Agent) askStatus(ctx context.Context, m membership.Member) peer.StatusRow {
+	if m.ID == a.Self.ID {
+		return a.StatusRow()
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusSelf)
+	defer cancel()
+	answer, err := a.Peers.Status(ctx, m, peer.StatusRequest{Scope: peer.ScopeSelf})
+	if err != nil || len(answer.Rows) != 1 {
+		row := rowOf(m)
+		row.Error = "no answer"
+		if err != nil {
+			row.Error = err.Error()
+		}
+		return row
+	}
+	return answer.Rows[0]
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/peer"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 )
 
@@ -40,9 +41,21 @@
 		n.Drain()
 		w.WriteHeader(http.StatusAccepted)
 	})
+	mux.HandleFunc("GET /v1/nodes", n.serveNodes)
 	return mux
 }
 
+// serveNodes answers with the status of every node in the system.
+func (n *Node) serveNodes(w http.ResponseWriter, r *http.Request) {
+	answer, err := n.agent.Status(r.Context(), peer.StatusRequest{Scope: peer.ScopeAll})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.Status().Ready {
 		http.Error(w, "no configuration yet, or draining", http.StatusServiceUnavailable)
@@ -54,5 +67,6 @@
 func (n *Node) registerDumps() {
 	n.dump.Register("status", func() any { return n.Status() })
 	n.dump.Register("members", func() any { return n.table.All() })
+	n.dump.Register("peer_bytes", func() any { return n.PeerBytes() })
 	n.dump.Register("config", func() any { return n.agent.State() })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	holder    *snapshot.Holder
 	table     *membership.Table
 	agent     *distribution.Agent
+	peers     peers
 	front     *proxy.Front
 	guard     *proxy.Guard
 	listeners listeners
@@ -59,7 +60,7 @@
 		draining: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	log := platformlog.NewClient(s.Log.Address, nil)
-	n.agent = distribution.NewAgent(log, n.self(), n.table, n.holder, logger)
+	n.newAgent(log, n.self())
 	n.front = proxy.NewFront(n.holder, newTransport(0), pickRandom)
 	n.guard = proxy.NewGuard(s.BackendServer.Address, newTransport(s.BackendServer.Connections))
 	n.registerDumps()
@@ -132,6 +133,7 @@
 	defer n.metrics.Close()
 	var g run.Group
 	g.Add(func() error { return n.agent.Run(ctx) }, func(error) { cancel() })
+	n.servePeers(ctx, &g)
 	g.Add(func() error { return n.runDrain(ctx) }, func(error) { cancel() })
 	n.servers.add(n.serve(&g, "calls", n.listeners.calls, n.front))
 	n.servers.add(n.serve(&g, "guard", n.listeners.guard, n.guard))
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/distribution"
+	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/peer"
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+)
+
+// peers is the node's part of the inner protocol.
+type peers struct {
+	bytes  peer.Counters
+	pool   *peer.Pool
+	server *peer.Server
+}
+
+// errNotHere answers methods whose part this build does not have.
+var errNotHere = errors.New("this node does not handle the method")
+
+// newAgent assembles the agent and the inner protocol, which need each other:
+// the pool tells the agent's entry, the server answers from its state.
+func (n *Node) newAgent(log platformlog.Log, self membership.Member) {
+	token := n.settings.Peers.Token
+	n.peers.pool = peer.NewPool(peer.PoolConfig{
+		Self: func() membership.Member { return n.agent.SelfEntry() }, Token: token, Dial: peer.DialTCP, Bytes: &n.peers.bytes,
+	})
+	n.agent = distribution.NewAgent(distribution.Config{
+		Self: self, Log: log, Peers: n.peers.pool, Seeds: n.settings.Peers.Seeds,
+		Table: n.table, Holder: n.holder, Logger: n.logger,
+	})
+	n.peers.server = peer.NewServer(&peerHandler{Agent: n.agent, node: n}, token, &n.peers.bytes)
+}
+
+// servePeers adds the inner protocol to the group.
+func (n *Node) servePeers(ctx context.Context, g *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error { return n.peers.server.Serve(ctx, n.listeners.peer) }, func(error) {
+		cancel()
+		n.peers.pool.Close()
+	})
+}
+
+// peerHandler adds to the agent the methods of the other parts.
+type peerHandler struct {
+	*distribution.Agent
+	node *Node
+}
+
+// Suspects takes quarantine entries.
+func (h *peerHandler) Suspects(json.RawMessage) {}
+
+// Claim answers claims of keys.
+func (h *peerHandler) Claim(context.Context, json.RawMessage) (json.RawMessage, error) {
+	return nil, errNotHere
+}
+
+// Settle takes outcomes of claimed calls.
+func (h *peerHandler) Settle(context.Context, json.RawMessage) (json.RawMessage, error) {
+	return nil, errNotHere
+}
+
+// Drain starts the graceful end of the node.
+func (h *peerHandler) Drain(context.Context) error {
+	h.node.Drain()
+	return nil
+}
+
+// Dump answers with the state of every part.
+func (h *peerHandler) Dump(context.Context) (json.RawMessage, error) {
+	var buf bytes.Buffer
+	if err := h.node.WriteDump(&buf); err != nil {
+		return nil, errors.Wrap(err, "dump")
+	}
+	return buf.Bytes(), nil
+}
+
+// PeerBytes is the traffic of the inner protocol so far.
+type PeerBytes struct {
+	In  int64 `json:"in"`
+	Out int64 `json:"out"`
+}
+
+// PeerBytes returns the traffic of the inner protocol so far.
+func (n *Node) PeerBytes() PeerBytes {
+	return PeerBytes{In: n.peers.bytes.In.Load(), Out: n.peers.bytes.Out.Load()}
+}
