--- a/cmd/goldcrestctl/main.go
+++ b/cmd/goldcrestctl/main.go
@@ -47,6 +47,7 @@
 		Use: "goldcrestctl", Short: "Publish, revise and retire profiles, and watch the nodes",
 		SilenceErrors: true, SilenceUsage: true,
 	}
-	root.AddCommand(newInitCommand(), newPublishCommand(), newRetireCommand(), newListCommand(), newCheckCommand(), newDevCommand(), newDemoCommand())
+	root.AddCommand(newInitCommand(), newPublishCommand(), newRetireCommand(), newListCommand(), newCheckCommand(), newDevCommand(), newDemoCommand(),
+		newStatusCommand(), newWatchCommand(), newDumpCommand(), newDrainCommand())
 	return root
 }
