Add the decision packages balance, retry and quarantine

Cause: the proxy needs a choice of backend server, a bound on retries and a guard against requests that crash servers, without I/O of their own. Change: internal/balance (two random choices on peak-EWMA latency and own calls in flight, tiers with early spill, byte bound across regions, aged load hint, cold-start ramp, outlier ejection), internal/retry (budgets, table of rules, hedge delay), internal/quarantine (entries that join in any order, suspects that run alone). shard.Map gets UpdateShard and UpdateAll.

--- /dev/null
+++ b/internal/balance/pick_test.go
@@ -0,0 +1,234 @@
+package balance
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// warm is past the cold-start ramp of servers first seen at start.
+var warm = start.Add(time.Minute)
+
+var home = Locality{Region: "west", FailureDomain: "w1"}
+
+// service has one endpoint for each place, "region/domain", with ids s0, s1...
+func service(places ...string) *snapshot.Service {
+	s := &snapshot.Service{Name: "books", Policy: profile.Policy{CrossRegionBytesPerSecond: 1000}}
+	for i, place := range places {
+		s.Endpoints = append(s.Endpoints, &snapshot.Endpoint{
+			ID: fmt.Sprintf("s%d", i), Incarnation: 1, Slots: 18,
+			Region: place[:4], FailureDomain: place[5:],
+		})
+	}
+	return s
+}
+
+func newTestBalancer() *Balancer {
+	random := rand.New(rand.NewPCG(1, 1))
+	return NewBalancer(NewStats(Config{}), home, random.Uint64)
+}
+
+// answer records a finished call.
+func answer(b *Balancer, id string, now time.Time, r Result) {
+	b.stats.Begin(id, now.Add(-r.Latency))
+	b.stats.End(id, now, r)
+}
+
+// shares picks n times without sending and returns the share of each server.
+func shares(t *testing.T, b *Balancer, now time.Time, r Request) map[string]float64 {
+	t.Helper()
+	const n = 2000
+	out := make(map[string]float64)
+	for range n {
+		c, err := b.Pick(now, r)
+		assert.NilError(t, err)
+		out[c.Endpoint.ID]++
+	}
+	for id := range out {
+		out[id] /= n
+	}
+	return out
+}
+
+// Each case guards one rule of the choice: history is what the calls showed,
+// and the servers named get all, or none, of the calls that follow.
+func TestPickRules(t *testing.T) {
+	ms := time.Millisecond
+	fast := Result{Latency: 10 * ms}
+	cases := []struct {
+		name    string
+		places  []string
+		exclude []string
+		history func(b *Balancer)
+		after   time.Duration // after warm
+		all     string        // server that gets every call
+		none    string        // server that gets no call
+	}{
+		{name: "own failure domain first", places: []string{"west/w1", "west/w2", "east/e1"}, all: "s0"},
+		{name: "own region before another", places: []string{"east/e1", "west/w2"}, all: "s1"},
+		{name: "spill while the local server still answers", places: []string{"west/w1", "west/w2"}, all: "s1",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, Result{Latency: 100 * ms})
+				answer(b, "s1", warm, fast)
+			}},
+		{name: "no spill over a small difference", places: []string{"west/w1", "west/w2"}, all: "s0",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, Result{Latency: 20 * ms})
+				answer(b, "s1", warm, fast)
+			}},
+		{name: "a server that stopped answering is left before a call ends", places: []string{"west/w1", "west/w1"}, none: "s0",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, fast)
+				answer(b, "s1", warm, fast)
+				b.stats.Begin("s0", warm)
+			}, after: 50 * ms},
+		{name: "a false report of an idle server does not outweigh slow calls", places: []string{"west/w1", "west/w1"}, none: "s0",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, Result{Latency: 25 * ms, Report: &LoadReport{Slots: 18}})
+				answer(b, "s1", warm, Result{Latency: 10 * ms, Report: &LoadReport{InFlight: 18, Queued: 99, Slots: 18}})
+			}},
+		{name: "fast refusals do not attract calls", places: []string{"west/w1", "west/w1"}, none: "s0",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, Result{Latency: 30 * ms})
+				answer(b, "s1", warm, fast)
+				answer(b, "s0", warm, Result{Latency: ms, NotRun: true, RetryAfter: ms})
+			}, after: 5 * ms},
+		{name: "retry-after steers away", places: []string{"west/w1", "west/w2"}, none: "s0",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, Result{Latency: ms, NotRun: true, RetryAfter: 300 * ms})
+			}, after: 299 * ms},
+		{name: "retry-after ends", places: []string{"west/w1", "west/w2"}, all: "s0",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, Result{Latency: ms, NotRun: true, RetryAfter: 300 * ms})
+			}, after: 300 * ms},
+		{name: "when all servers ask for no calls, one still gets them", places: []string{"west/w1"}, all: "s0",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, Result{Latency: ms, NotRun: true, RetryAfter: 300 * ms})
+			}},
+		{name: "excluded server", places: []string{"west/w1", "east/e1"}, exclude: []string{"s0"}, all: "s1"},
+		{name: "five failures in a row eject", places: []string{"west/w1", "west/w2"}, none: "s0",
+			history: func(b *Balancer) { fail(b, "s0", warm, 5) }},
+		{name: "four failures do not", places: []string{"west/w1", "west/w2"}, all: "s0",
+			history: func(b *Balancer) { fail(b, "s0", warm, 4) }},
+		{name: "cancelled calls do not", places: []string{"west/w1", "west/w2"}, all: "s0",
+			history: func(b *Balancer) {
+				for range 20 {
+					answer(b, "s0", warm, Result{Latency: ms, Canceled: true, Failed: true})
+				}
+			}},
+		{name: "the only server is never ejected", places: []string{"west/w1"}, all: "s0",
+			history: func(b *Balancer) { fail(b, "s0", warm, 50) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBalancer()
+			r := Request{Service: service(c.places...), Exclude: c.exclude}
+			b.candidates(start, r.Service)
+			if c.history != nil {
+				c.history(b)
+			}
+			got := shares(t, b, warm.Add(c.after), r)
+			if c.all != "" {
+				assert.Equal(t, len(got), 1, "%v", got)
+				assert.Assert(t, got[c.all] > 0, "%v", got)
+			}
+			if c.none != "" {
+				assert.Equal(t, got[c.none], 0.0, "%v", got)
+			}
+		})
+	}
+}
+
+func fail(b *Balancer, id string, now time.Time, n int) {
+	for range n {
+		answer(b, id, now, Result{Latency: time.Millisecond, Failed: true})
+	}
+}
+
+// Guards against a new server being flooded before it is warm, and against
+// one that never gets its full share.
+func TestColdStartRamp(t *testing.T) {
+	b := newTestBalancer()
+	r := Request{Service: service("west/w1", "west/w1", "west/w1")}
+	b.candidates(start, r.Service)
+	r.Service.Endpoints[0].Incarnation = 2 // restarted
+	cold := shares(t, b, warm, r)["s0"]
+	half := shares(t, b, warm.Add(5*time.Second), r)["s0"]
+	full := shares(t, b, warm.Add(10*time.Second), r)["s0"]
+	assert.Assert(t, cold > 0 && cold < 0.12, "cold %v", cold)
+	assert.Assert(t, cold < half && half < full, "cold %v, half %v, full %v", cold, half, full)
+	assert.Assert(t, full > 0.25, "full %v", full)
+}
+
+// Guards the way back: an ejected server returns by one probe, a failed probe
+// doubles the wait, and retries are never used as probes.
+func TestProbe(t *testing.T) {
+	b := newTestBalancer()
+	r := Request{Service: service("west/w1", "west/w1")}
+	b.candidates(start, r.Service)
+	fail(b, "s0", warm, 5)
+	due := warm.Add(5 * time.Second)
+	_, early := b.probe(due.Add(-1), r, b.candidates(due, r.Service))
+	assert.Assert(t, !early, "a probe before the ejection ends")
+	c, err := b.Pick(due, Request{Service: r.Service, Exclude: []string{"none"}})
+	assert.NilError(t, err)
+	assert.Equal(t, c.Endpoint.ID, "s1", "a retry is not a probe")
+	c, err = b.Pick(due, r)
+	assert.NilError(t, err)
+	assert.Assert(t, c.Probe && c.Endpoint.ID == "s0")
+	assert.Equal(t, shares(t, b, due, r)["s1"], 1.0, "one probe at a time")
+	fail(b, "s0", due, 1)
+	assert.Equal(t, shares(t, b, due.Add(9*time.Second), r)["s1"], 1.0, "the wait doubles")
+	due = due.Add(10 * time.Second)
+	c, err = b.Pick(due, r)
+	assert.NilError(t, err)
+	assert.Assert(t, c.Probe)
+	answer(b, "s0", due, Result{Latency: time.Millisecond})
+	assert.Equal(t, len(b.Ejected(due, r.Service)), 0)
+}
+
+// Guards the metered link: a debt stops calls across regions until it is paid.
+func TestCrossRegionBound(t *testing.T) {
+	b := newTestBalancer()
+	r := Request{Service: service("east/e1")}
+	_, err := b.Pick(warm, r)
+	assert.NilError(t, err)
+	b.SpendCrossRegion(warm, 5000)
+	_, err = b.Pick(warm.Add(3999*time.Millisecond), r)
+	assert.Assert(t, errors.Is(err, ErrCrossRegionSpent), "%v", err)
+	_, err = b.Pick(warm.Add(4001*time.Millisecond), r)
+	assert.NilError(t, err)
+	_, err = b.Pick(warm, Request{Service: service()})
+	assert.Assert(t, errors.Is(err, ErrNoEndpoint), "%v", err)
+}
+
+// Guards against a choice that takes a service's servers out one by one: in
+// any schedule at most half are ejected, and a server is always picked.
+func TestEjectionCapHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newTestBalancer()
+		places := rapid.SliceOfN(rapid.SampledFrom([]string{"west/w1", "west/w2"}), 1, 9).Draw(t, "places")
+		r := Request{Service: service(places...)}
+		now := start
+		for range rapid.IntRange(1, 300).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			c, err := b.Pick(now, r)
+			assert.NilError(t, err)
+			b.stats.Begin(c.Endpoint.ID, now)
+			failed := rapid.IntRange(0, 9).Draw(t, "result") < 8
+			b.stats.End(c.Endpoint.ID, now, Result{Latency: time.Millisecond, Failed: failed})
+			ejected := b.Ejected(now, r.Service)
+			assert.Assert(t, 2*len(ejected) <= len(places), "%v of %d", ejected, len(places))
+		}
+	})
+}
--- /dev/null
+++ b/internal/balance/server.go
@@ -0,0 +1,248 @@
+package balance
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+// server is what is known of one backend server. It is a plain value that
+// lives in a shard.Map; its methods run under the shard's lock or on a copy.
+type server struct {
+	incarnation int64
+	seen        time.Time // last use, for Prune
+	since       time.Time // start of the cold-start ramp
+
+	inFlight int
+	// startSum is the sum of the start times of calls in flight, in ns since
+	// since. It gives their mean age, which shows a server that has stopped
+	// answering before any call on it ends.
+	startSum int64
+
+	latency   time.Duration // peak EWMA; 0 while unmeasured
+	latencyAt time.Time
+
+	report   LoadReport
+	reportAt time.Time
+
+	steerUntil time.Time // the server asked for no calls until then
+
+	outlier
+}
+
+// recentCalls is how many calls the share of failures is taken over.
+const recentCalls = 20
+
+const recentMask = 1<<recentCalls - 1
+
+// outlier is the ejection state of a server.
+type outlier struct {
+	row          int       // failures in a row
+	recent       uint32    // last recentCalls results, 1 for a failure
+	recentCount  int       // results in recent
+	ejected      bool      // until a probe succeeds
+	ejectedAt    time.Time // order in which the cap honours ejections
+	ejectedUntil time.Time
+	probeUntil   time.Time // a probe is out until then
+	ejections    int       // ejections without a healthy period in between
+	returnedAt   time.Time
+}
+
+func newServer(incarnation int64, now time.Time) server {
+	return server{incarnation: incarnation, since: now, seen: now}
+}
+
+func (s *server) begin(now time.Time) {
+	s.seen = now
+	s.inFlight++
+	s.startSum += now.Sub(s.since).Nanoseconds()
+}
+
+func (s *server) end(cfg Config, now time.Time, r Result) {
+	s.seen = now
+	s.leave(now, r.Latency)
+	s.observe(cfg, now, r)
+	s.steer(cfg, now, r)
+	if r.Report != nil {
+		s.report = *r.Report
+		s.reportAt = now
+	}
+	s.judge(cfg, now, r)
+}
+
+func (s *server) leave(now time.Time, latency time.Duration) {
+	if s.inFlight == 0 {
+		return
+	}
+	s.inFlight--
+	s.startSum -= (now.Sub(s.since) - latency).Nanoseconds()
+	if s.inFlight == 0 {
+		s.startSum = 0
+	}
+}
+
+// observe takes a latency sample. A refusal is no sample: a server that
+// refuses fast would attract every call. A failed or cancelled call only ever
+// raises the value, since it took at least that long.
+func (s *server) observe(cfg Config, now time.Time, r Result) {
+	if r.NotRun || r.Latency <= 0 {
+		return
+	}
+	if r.Latency >= s.latency {
+		s.latency = r.Latency
+		s.latencyAt = now
+		return
+	}
+	if r.Failed || r.Canceled {
+		return
+	}
+	keep := decay(now.Sub(s.latencyAt), cfg.LatencyDecay)
+	s.latency = time.Duration(float64(s.latency)*keep + float64(r.Latency)*(1-keep))
+	s.latencyAt = now
+}
+
+// decay returns exp(-age/constant), within 0 and 1.
+func decay(age, constant time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp(-float64(age) / float64(constant))
+}
+
+func (s *server) steer(cfg Config, now time.Time, r Result) {
+	if !r.NotRun {
+		return
+	}
+	wait := r.RetryAfter
+	if wait <= 0 {
+		wait = cfg.SteerAway
+	}
+	if until := now.Add(min(wait, cfg.SteerAwayMax)); until.After(s.steerUntil) {
+		s.steerUntil = until
+	}
+}
+
+// judge updates the ejection state. A refusal without a failure and a
+// cancelled call say nothing about the server's health.
+func (s *server) judge(cfg Config, now time.Time, r Result) {
+	if r.Canceled || (r.NotRun && !r.Failed) {
+		s.probeUntil = time.Time{}
+		return
+	}
+	s.count(r.Failed)
+	switch {
+	case s.ejected && !s.probeUntil.IsZero():
+		s.settleProbe(cfg, now, r.Failed)
+	case !s.ejected && r.Failed && s.failing(cfg):
+		s.eject(cfg, now)
+	}
+}
+
+func (s *server) count(failed bool) {
+	s.recent = s.recent << 1 & recentMask
+	s.recentCount = min(s.recentCount+1, recentCalls)
+	if !failed {
+		s.row = 0
+		return
+	}
+	s.recent |= 1
+	s.row++
+}
+
+func (s *server) failing(cfg Config) bool {
+	if s.row >= cfg.FailuresInRow {
+		return true
+	}
+	failures := bits.OnesCount32(s.recent)
+	return s.recentCount == recentCalls && float64(failures) > cfg.FailureShare*recentCalls
+}
+
+func (s *server) eject(cfg Config, now time.Time) {
+	if now.Sub(s.returnedAt) > cfg.EjectMax {
+		s.ejections = 0
+	}
+	wait := min(cfg.Eject<<min(s.ejections, maxDoublings), cfg.EjectMax)
+	s.ejections++
+	if !s.ejected {
+		s.ejectedAt = now
+	}
+	s.ejected = true
+	s.ejectedUntil = now.Add(wait)
+	s.probeUntil = time.Time{}
+}
+
+// maxDoublings keeps the shift of the ejection time in range.
+const maxDoublings = 16
+
+func (s *server) settleProbe(cfg Config, now time.Time, failed bool) {
+	if failed {
+		s.returnedAt = now // the next ejection follows on, so it doubles
+		s.eject(cfg, now)
+		return
+	}
+	ejections := s.ejections
+	s.outlier = outlier{ejections: ejections, returnedAt: now}
+	s.restartRamp(now)
+}
+
+// restartRamp makes the server start cold, as after a restart.
+func (s *server) restartRamp(now time.Time) {
+	s.startSum -= int64(s.inFlight) * now.Sub(s.since).Nanoseconds()
+	s.since = now
+}
+
+// probeDue reports whether an ejected server may get its one probe call.
+func (s *server) probeDue(now time.Time) bool {
+	return s.ejected && !now.Before(s.ejectedUntil) && !now.Before(s.probeUntil)
+}
+
+// weight is the share of draws that a server gets while it starts cold.
+func (s *server) weight(cfg Config, now time.Time) float64 {
+	age := now.Sub(s.since)
+	if age >= cfg.ColdStart {
+		return 1
+	}
+	part := max(float64(age)/float64(cfg.ColdStart), 0)
+	return cfg.ColdWeight + (1-cfg.ColdWeight)*part
+}
+
+// expected is the expected completion time of one more call. fallback stands
+// in for the latency of a server that was never measured.
+func (s *server) expected(cfg Config, now time.Time, slots int, fallback time.Duration) time.Duration {
+	latency := max(s.currentLatency(cfg, now, fallback), s.meanAge(now))
+	load := float64(s.inFlight + 1)
+	return time.Duration(float64(latency) * load * s.hint(cfg, now))
+}
+
+// currentLatency fades towards fallback while no sample arrives, so that a
+// server that recovered is tried again.
+func (s *server) currentLatency(cfg Config, now time.Time, fallback time.Duration) time.Duration {
+	if s.latency == 0 {
+		return fallback
+	}
+	if s.latency <= fallback {
+		return s.latency
+	}
+	keep := decay(now.Sub(s.latencyAt), cfg.LatencyDecay)
+	return fallback + time.Duration(float64(s.latency-fallback)*keep)
+}
+
+func (s *server) meanAge(now time.Time) time.Duration {
+	if s.inFlight == 0 {
+		return 0
+	}
+	mean := s.startSum / int64(s.inFlight)
+	return max(now.Sub(s.since)-time.Duration(mean), 0)
+}
+
+// hint is the factor from the load report, from 1 to 2: a report of an idle
+// server never makes it better than the own calls say, and one of a full
+// server at most doubles what they say.
+func (s *server) hint(cfg Config, now time.Time) float64 {
+	if s.reportAt.IsZero() || s.report.Slots <= 0 {
+		return 1
+	}
+	busy := float64(s.report.InFlight+s.report.Queued) / float64(s.report.Slots)
+	age := float64(max(now.Sub(s.reportAt), 0)) / float64(cfg.ReportHalfLife)
+	return 1 + min(max(busy, 0), 1)*math.Exp2(-age)
+}
--- /dev/null
+++ b/internal/quarantine/list_test.go
@@ -0,0 +1,193 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const poison Fingerprint = 7
+
+// step is one event that a list sees, at a time in ms after start.
+type step struct {
+	at     int
+	event  string // crash, success, lift
+	server string
+}
+
+// Each case guards a rule that decides between a request that crashes servers
+// and one that was in flight by chance.
+func TestStates(t *testing.T) {
+	const expiry = 600_000
+	cases := []struct {
+		name  string
+		steps []step
+		at    int
+		want  State
+	}{
+		{"unknown", nil, 0, Clear},
+		{"one crash", []step{{0, "crash", "a"}}, 1, Suspect},
+		{"two servers", []step{{0, "crash", "a"}, {1, "crash", "b"}}, 2, Quarantined},
+		{"one crash reported twice", []step{{0, "crash", "a"}, {900, "crash", "a"}}, 901, Suspect},
+		{"one server twice", []step{{0, "crash", "a"}, {2000, "crash", "a"}}, 2001, Suspect},
+		{"one server three times", []step{{0, "crash", "a"}, {2000, "crash", "a"}, {4000, "crash", "a"}}, 4001, Quarantined},
+		{"success in between", []step{{0, "crash", "a"}, {1, "success", ""}, {2, "crash", "b"}}, 3, Suspect},
+		{"success afterwards", []step{{0, "crash", "a"}, {1, "crash", "b"}, {2, "success", ""}}, 3, Clear},
+		{"success before", []step{{0, "success", ""}, {1, "crash", "a"}, {2, "crash", "b"}}, 3, Quarantined},
+		{"lifted", []step{{0, "crash", "a"}, {1, "crash", "b"}, {2, "lift", ""}}, 3, Clear},
+		{"crashes again after the lift", []step{{0, "crash", "a"}, {1, "crash", "b"}, {2, "lift", ""}, {3, "crash", "a"}}, 4, Suspect},
+		{"still in force", []step{{0, "crash", "a"}, {1, "crash", "b"}}, expiry, Quarantined},
+		{"expired", []step{{0, "crash", "a"}, {1, "crash", "b"}}, expiry + 1, Clear},
+		{"crashes too far apart", []step{{0, "crash", "a"}, {expiry, "crash", "b"}}, expiry + 1, Suspect},
+		{"clock set back", []step{{5, "crash", "a"}, {3, "success", ""}}, 5, Clear},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := NewList(Config{})
+			for _, s := range c.steps {
+				apply(l, s)
+			}
+			assert.Equal(t, l.Check(poison, at(c.at)).State, c.want)
+		})
+	}
+}
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func apply(l *List, s step) []Entry {
+	switch s.event {
+	case "crash":
+		return l.Crash(s.server, []Fingerprint{poison}, at(s.at))
+	case "success":
+		return l.Success(poison, at(s.at))
+	}
+	return l.Lift(poison, at(s.at))
+}
+
+// Guards against nodes that disagree for good: crashes and clears that cross
+// in flight, in any order and repeated, end the same on every node.
+func TestMergeConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := []*List{NewList(Config{}), NewList(Config{}), NewList(Config{})}
+		var sent []Entry
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			s := step{
+				at:     rapid.IntRange(0, 5000).Draw(t, "ms"),
+				event:  rapid.SampledFrom([]string{"crash", "crash", "success", "lift"}).Draw(t, "event"),
+				server: rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"}).Draw(t, "server"),
+			}
+			node := rapid.SampledFrom(nodes).Draw(t, "node")
+			sent = append(sent, apply(node, s)...)
+			if rapid.Bool().Draw(t, "hear") && len(sent) > 0 {
+				sent = append(sent, node.Merge(sent[:1], at(5000))...)
+			}
+		}
+		seed := rapid.Uint64().Draw(t, "order")
+		for round := true; round; {
+			round = false
+			for i, n := range nodes {
+				order := rand.New(rand.NewPCG(seed, uint64(i))).Perm(len(sent))
+				for _, k := range order {
+					news := n.Merge(sent[k:k+1], at(5000))
+					sent = append(sent, news...)
+					round = round || len(news) > 0
+				}
+			}
+		}
+		for _, n := range nodes[1:] {
+			want, _ := nodes[0].records.Get(poison.String())
+			got, _ := n.records.Get(poison.String())
+			assert.Assert(t, got.entry.equal(want.entry), "%v, %v", got.entry, want.entry)
+		}
+	})
+}
+
+// Guards a popular request: word of a crash that arrives after the request
+// succeeded here does not make it suspect, and the clear is passed on.
+func TestMergeAfterSuccess(t *testing.T) {
+	here, there := NewList(Config{}), NewList(Config{})
+	crash := apply(there, step{10, "crash", "a"})
+	apply(here, step{20, "success", ""})
+	news := here.Merge(crash, at(30))
+	assert.Equal(t, here.Check(poison, at(30)).State, Clear)
+	there.Merge(news, at(40))
+	assert.Equal(t, there.Check(poison, at(40)).State, Clear)
+}
+
+// Guards against a suspect that endangers several servers at once, and against
+// two suspects on one server, where a crash could not tell them apart.
+func TestSuspectsRunAlone(t *testing.T) {
+	l := NewList(Config{})
+	const other Fingerprint = 8
+	first, a := l.Send(poison, start)
+	assert.Equal(t, a, Admitted)
+	l.Crash("a", []Fingerprint{poison, other}, start)
+	first.Release()
+
+	sent, a := l.Send(poison, at(1))
+	assert.Equal(t, a, Admitted)
+	_, a = l.Send(poison, at(1))
+	assert.Equal(t, a, Busy)
+	_, a = l.Send(other, at(1))
+	assert.Equal(t, a, Admitted, "another suspect may be sent")
+	run, a := l.Run(poison, "b", at(1))
+	assert.Equal(t, a, Admitted)
+	_, a = l.Run(other, "b", at(1))
+	assert.Equal(t, a, Busy)
+	_, a = l.Run(other, "c", at(1))
+	assert.Equal(t, a, Admitted)
+	run.Release()
+	run.Release()
+	sent.Release()
+	_, a = l.Run(other, "b", at(1))
+	assert.Equal(t, a, Admitted)
+	again, a := l.Send(poison, at(2))
+	assert.Equal(t, a, Admitted)
+	again.Release()
+
+	l.Crash("b", []Fingerprint{poison}, at(3))
+	_, a = l.Send(poison, at(4))
+	assert.Equal(t, a, Refused)
+	_, a = l.Run(poison, "c", at(4))
+	assert.Equal(t, a, Refused)
+}
+
+// Guards the memory bound, and a quarantine against being pushed out by a
+// flood of other requests.
+func TestBoundedSize(t *testing.T) {
+	l := NewList(Config{MaxRecords: 320})
+	apply(l, step{0, "crash", "a"})
+	apply(l, step{1, "crash", "b"})
+	for i := range 5000 {
+		l.Success(Fingerprint(1000+i), at(2))
+		l.Crash("c", []Fingerprint{Fingerprint(100_000 + i)}, at(2))
+	}
+	assert.Assert(t, l.records.Len() <= 320, "%d", l.records.Len())
+	assert.Equal(t, l.Check(poison, at(3)).State, Quarantined)
+}
+
+// Guards against two requests that share a fingerprint although a server would
+// tell them apart, and against one request that has two.
+func TestFingerprint(t *testing.T) {
+	base := NewFingerprint("GET", "h", "/p", "q=1", nil)
+	others := []Fingerprint{
+		NewFingerprint("POST", "h", "/p", "q=1", nil),
+		NewFingerprint("GET", "h/", "p", "q=1", nil),
+		NewFingerprint("GET", "h", "/pq", "=1", nil),
+		NewFingerprint("GET", "h", "/p", "q=1", []byte("x")),
+	}
+	for i, o := range others {
+		assert.Assert(t, o != base, "%d", i)
+	}
+	long := make([]byte, BodyBytes+1)
+	assert.Equal(t, NewFingerprint("GET", "h", "/", "", long), NewFingerprint("GET", "h", "/", "", long[:BodyBytes]))
+	parsed, err := ParseFingerprint(fmt.Sprint(base))
+	assert.NilError(t, err)
+	assert.Equal(t, parsed, base)
+}
--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,94 @@
+package retry
+
+import (
+	"math"
+	"time"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/shard"
+)
+
+// Budgets bounds retries and hedges to a share of the calls of each service,
+// sharded by service.
+//
+// A call earns its share of a token and a retry or hedge costs one, so that
+// spending never passes share x calls, whatever the schedule. Nothing is
+// granted up front.
+type Budgets struct {
+	accounts *shard.Map[account]
+}
+
+// token is one retry in millionths. Whole numbers keep ten shares of 0.1
+// equal to one token.
+const token = 1_000_000
+
+// budgetWindow is the time constant in which unspent tokens above
+// quietTokens expire, so that a long healthy time saves up no retry storm.
+const budgetWindow = 10 * time.Second
+
+// quietTokens never expires, so that a service with few calls gets to retry
+// one of every 1/share calls.
+const quietTokens = token
+
+type account struct {
+	tokens float64 // in millionths of a retry
+	at     time.Time
+}
+
+// NewBudgets returns Budgets in which no service has earned a retry.
+func NewBudgets() *Budgets {
+	return &Budgets{accounts: shard.NewMap[account](shard.DefaultCount)}
+}
+
+// Call records that a call was asked for. Attempts after the first are not
+// calls. share is that of the service's policy.
+func (b *Budgets) Call(service string, share float64, now time.Time) {
+	earned := math.Floor(share*token + 0.5)
+	b.accounts.Update(service, func(a account, ok bool) (account, bool) {
+		a = a.expire(now)
+		a.tokens += max(earned, 0)
+		return a, true
+	})
+}
+
+// Spend takes one retry or hedge out of the budget and reports whether there
+// was one. A share of zero switches retries and hedges off at once.
+func (b *Budgets) Spend(service string, share float64, now time.Time) bool {
+	if share <= 0 {
+		return false
+	}
+	spent := false
+	b.accounts.Update(service, func(a account, ok bool) (account, bool) {
+		a = a.expire(now)
+		if a.tokens >= token {
+			a.tokens -= token
+			spent = true
+		}
+		return a, true
+	})
+	return spent
+}
+
+// Available returns the number of retries that a service has left, for dumps
+// and tests.
+func (b *Budgets) Available(service string, now time.Time) float64 {
+	a, _ := b.accounts.Get(service)
+	return a.expire(now).tokens / token
+}
+
+// Prune drops the accounts of services that were not called for the given
+// time.
+func (b *Budgets) Prune(now time.Time, unused time.Duration) int {
+	return b.accounts.DeleteFunc(func(_ string, a account) bool { return now.Sub(a.at) > unused })
+}
+
+func (a account) expire(now time.Time) account {
+	passed := now.Sub(a.at)
+	if passed <= 0 {
+		return a
+	}
+	if extra := a.tokens - quietTokens; extra > 0 {
+		a.tokens = quietTokens + extra*math.Exp(-float64(passed)/float64(budgetWindow))
+	}
+	a.at = now
+	return a
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,123 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Each case guards one rule of Decide against a change of its order or its
+// condition: the attempt differs from one that is retried in one respect.
+func TestDecide(t *testing.T) {
+	cases := []struct {
+		name string
+		edit func(*Attempt)
+		want Decision
+	}{
+		{"idempotent, answer lost", func(a *Attempt) {}, Decision{TryNext, "retry"}},
+		{"idempotent, 500", func(a *Attempt) { a.Outcome, a.Status = Ran, 500 }, Decision{TryNext, "retry"}},
+		{"idempotent, refused", func(a *Attempt) { a.Outcome, a.Reason, a.Status = NotRun, "overloaded", 503 }, Decision{TryNext, "retry"}},
+		{"not idempotent, refused", func(a *Attempt) { a.Idempotent, a.Outcome, a.Reason = false, NotRun, "draining" }, Decision{TryNext, "retry"}},
+		{"not idempotent, answer lost", func(a *Attempt) { a.Idempotent = false }, Decision{PassOn, "may_have_run"}},
+		{"not idempotent, 503 of the server", func(a *Attempt) { a.Idempotent, a.Outcome, a.Status = false, Ran, 503 }, Decision{PassOn, "may_have_run"}},
+		{"answered", func(a *Attempt) { a.Outcome, a.Status = Ran, 404 }, Decision{PassOn, "success"}},
+		{"status that stays", func(a *Attempt) { a.Outcome, a.Status = Ran, 501 }, Decision{PassOn, "final_status"}},
+		{"caller gone", func(a *Attempt) { a.Canceled = true }, Decision{PassOn, "caller_gone"}},
+		{"part of the answer delivered", func(a *Attempt) { a.Streaming = true }, Decision{PassOn, "answer_begun"}},
+		{"retried by the layer below", func(a *Attempt) { a.Outcome, a.Reason, a.Status = Ran, ReasonExhausted, 503 }, Decision{PassOn, "retried_below"}},
+		{"failed two nodes below", func(a *Attempt) { a.AnswerHops = 2 }, Decision{PassOn, "failed_far_below"}},
+		{"quarantined", func(a *Attempt) { a.Outcome, a.Reason = NotRun, "quarantined" }, Decision{PassOn, "final_reason"}},
+		{"body not kept", func(a *Attempt) { a.BodyLost = true }, Decision{GiveUp, "body_lost"}},
+		{"last try", func(a *Attempt) { a.Tries = 3 }, Decision{GiveUp, "tries_used"}},
+		{"no time", func(a *Attempt) { a.Remaining = a.Needed }, Decision{GiveUp, "no_time_left"}},
+		{"deadline over", func(a *Attempt) { a.Remaining, a.Needed = -time.Second, 0 }, Decision{GiveUp, "no_time_left"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := Attempt{Idempotent: true, Outcome: Unknown, AnswerHops: 1, Tries: 1, MaxRetries: 2,
+				Remaining: time.Second, Needed: 10 * time.Millisecond}
+			c.edit(&a)
+			assert.Equal(t, Decide(a), c.want)
+		})
+	}
+}
+
+// Guards the amplification bound: in no schedule of calls and pauses do
+// retries and hedges pass the share of calls, and calls are not forgotten to
+// the point where a quiet service can never retry.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudgets()
+		percent := rapid.IntRange(0, 100).Draw(t, "percent")
+		share := float64(percent) / 100
+		now := start
+		calls, spent, sinceSpent := 0, 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 5).Draw(t, "calls") {
+				b.Call("books", share, now)
+				calls++
+				sinceSpent++
+			}
+			if rapid.Bool().Draw(t, "fails") && b.Spend("books", share, now) {
+				spent++
+				sinceSpent = 0
+			}
+			assert.Assert(t, 100*spent <= percent*calls, "%d spent after %d calls at %d%%", spent, calls, percent)
+		}
+		if percent > 0 && sinceSpent*percent >= 100 {
+			assert.Assert(t, b.Spend("books", share, now), "a quiet service cannot retry")
+		}
+	})
+}
+
+// Guards against a retry storm saved up in a long healthy time.
+func TestBudgetExpires(t *testing.T) {
+	b := NewBudgets()
+	for range 1000 {
+		b.Call("books", 0.1, start)
+	}
+	assert.Equal(t, b.Available("books", start), 100.0)
+	later := start.Add(10 * time.Minute)
+	assert.Assert(t, b.Available("books", later) < 1.001)
+	assert.Assert(t, b.Spend("books", 0.1, later))
+	assert.Assert(t, !b.Spend("books", 0.1, later))
+}
+
+// Guards the hedge delay against too few samples, old samples, and the state
+// in which hedges only add load because most servers are slow.
+func TestHedgeAfter(t *testing.T) {
+	l := NewLatencies()
+	ms := time.Millisecond
+	now := start
+	feed := func(n int, d func(i int) time.Duration) {
+		for i := range n {
+			now = now.Add(10 * ms)
+			l.Observe("r", d(i), now)
+		}
+	}
+	oneInTen := func(i int) time.Duration {
+		if i%10 == 0 {
+			return 100 * ms
+		}
+		return 10 * ms
+	}
+	feed(19, oneInTen)
+	_, ok := l.HedgeAfter("r", now)
+	assert.Assert(t, !ok, "19 samples")
+	feed(500, oneInTen)
+	after, ok := l.HedgeAfter("r", now)
+	assert.Assert(t, ok && after > 90*ms && after < 110*ms, "%v", after)
+	feed(30, func(int) time.Duration { return 500 * ms })
+	_, ok = l.HedgeAfter("r", now)
+	assert.Assert(t, !ok, "most servers are slow")
+	feed(30, oneInTen)
+	_, ok = l.HedgeAfter("r", now)
+	assert.Assert(t, ok, "servers are fast again")
+	_, ok = l.HedgeAfter("r", now.Add(time.Minute))
+	assert.Assert(t, !ok, "samples are old")
+}
--- a/internal/shard/map.go
+++ b/internal/shard/map.go
@@ -92,6 +92,38 @@
 	sh.m[key] = v
 }
 
+// UpdateShard runs fn on all entries of the shard that holds key, under its
+// lock. It is for holders that bound the size of a shard while they add to it.
+// fn must not keep m and must not call back into the Map.
+func (s *Map[V]) UpdateShard(key string, fn func(m map[string]V)) {
+	sh := s.shardOf(key)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	fn(sh.m)
+}
+
+// UpdateAll replaces the value of every entry by what fn returns for it, one
+// shard at a time, and removes those for which fn returns false. fn must not
+// call back into the Map.
+func (s *Map[V]) UpdateAll(fn func(key string, v V) (V, bool)) {
+	for i := range s.shards {
+		s.shards[i].updateAll(fn)
+	}
+}
+
+func (sh *mapShard[V]) updateAll(fn func(key string, v V) (V, bool)) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for k, v := range sh.m {
+		next, keep := fn(k, v)
+		if !keep {
+			delete(sh.m, k)
+			continue
+		}
+		sh.m[k] = next
+	}
+}
+
 // Range calls fn for every entry, one shard at a time under its read lock,
 // until fn returns false. Entries of different shards are not read at one
 // moment. fn must not call back into the Map.
