--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -185,8 +185,8 @@
 	var sum time.Duration
 	n := 0
 	for _, c := range all {
-		if c.server.latency > 0 {
-			sum += c.server.latency
+		if m := c.server.mean(); m > 0 {
+			sum += m
 			n++
 		}
 	}
@@ -210,7 +210,7 @@
 }
 
 func (b *Balancer) price(now time.Time, c candidate, fallback time.Duration) Choice {
-	expected := c.server.expected(b.stats.cfg, now, c.endpoint.Slots, fallback)
+	expected := c.server.expected(b.stats.cfg, now, fallback)
 	return Choice{Endpoint: c.endpoint, Tier: c.tier, Expected: expected}
 }
 
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -19,8 +19,12 @@
 	// answering before any call on it ends.
 	startSum int64
 
-	latency   time.Duration // peak EWMA; 0 while unmeasured
-	latencyAt time.Time
+	// workTime over answers, both fading, is the mean latency. Cancelled
+	// attempts add their time but no answer, so that a hedge which ends every
+	// slow attempt early does not hide a slow server.
+	workTime  float64 // ns
+	answers   float64
+	sampledAt time.Time
 
 	report   LoadReport
 	reportAt time.Time
@@ -82,25 +86,47 @@
 }
 
 // observe takes a latency sample. A refusal is no sample: a server that
-// refuses fast would attract every call. A failed or cancelled call only ever
-// raises the value, since it took at least that long.
+// refuses fast would attract every call. A failed call only counts when it
+// took long, since failing fast would attract calls too.
 func (s *server) observe(cfg Config, now time.Time, r Result) {
 	if r.NotRun || r.Latency <= 0 {
 		return
 	}
-	if r.Latency >= s.latency {
-		s.latency = r.Latency
-		s.latencyAt = now
+	mean := s.mean()
+	if r.Failed && r.Latency < mean {
 		return
 	}
-	if r.Failed || r.Canceled {
-		return
+	keep := decay(now.Sub(s.sampledAt), cfg.LatencyDecay)
+	if r.Latency > surprise*mean {
+		keep *= surpriseKeep
+	}
+	s.workTime = s.workTime*keep + float64(r.Latency)
+	s.answers *= keep
+	if !r.Canceled {
+		s.answers++
+	}
+	s.sampledAt = now
+}
+
+// An answer that takes this many times the mean halves the weight of all that
+// was known, so that a server that turns slow is seen after a few calls, as
+// with a peak-sensitive average.
+const (
+	surprise     = 2
+	surpriseKeep = 0.5
+)
+
+// mean returns the mean latency, 0 while unmeasured.
+func (s *server) mean() time.Duration {
+	if s.workTime == 0 {
+		return 0
 	}
-	keep := decay(now.Sub(s.latencyAt), cfg.LatencyDecay)
-	s.latency = time.Duration(float64(s.latency)*keep + float64(r.Latency)*(1-keep))
-	s.latencyAt = now
+	return time.Duration(s.workTime / max(s.answers, minAnswers))
 }
 
+// minAnswers keeps the mean finite when no attempt was answered yet.
+const minAnswers = 0.1
+
 // decay returns exp(-age/constant), within 0 and 1.
 func decay(age, constant time.Duration) float64 {
 	if age <= 0 {
@@ -208,41 +234,35 @@
 
 // expected is the expected completion time of one more call. fallback stands
 // in for the latency of a server that was never measured.
-func (s *server) expected(cfg Config, now time.Time, slots int, fallback time.Duration) time.Duration {
-	latency := max(s.currentLatency(cfg, now, fallback), s.meanAge(now))
+func (s *server) expected(cfg Config, now time.Time, fallback time.Duration) time.Duration {
 	load := float64(s.inFlight + 1)
-	return time.Duration(float64(latency) * load * s.hint(cfg, now))
+	return time.Duration(s.latency(cfg, now, fallback) * load * s.hint(cfg, now))
 }
 
-// currentLatency fades towards fallback while no sample arrives, so that a
-// server that recovered is tried again.
-func (s *server) currentLatency(cfg Config, now time.Time, fallback time.Duration) time.Duration {
-	if s.latency == 0 {
-		return fallback
-	}
-	if s.latency <= fallback {
-		return s.latency
-	}
-	keep := decay(now.Sub(s.latencyAt), cfg.LatencyDecay)
-	return fallback + time.Duration(float64(s.latency-fallback)*keep)
+// latency is the mean latency, in ns, in which calls in flight count with
+// their age so far. It fades towards fallback while no sample arrives, so that
+// a server that recovered is tried again.
+func (s *server) latency(cfg Config, now time.Time, fallback time.Duration) float64 {
+	keep := decay(now.Sub(s.sampledAt), cfg.LatencyDecay)
+	work := s.workTime*keep + s.age(now) + float64(fallback)
+	return work / (s.answers*keep + 1)
 }
 
-func (s *server) meanAge(now time.Time) time.Duration {
-	if s.inFlight == 0 {
-		return 0
-	}
-	mean := s.startSum / int64(s.inFlight)
-	return max(now.Sub(s.since)-time.Duration(mean), 0)
+// age is the sum of the ages of the calls in flight, in ns.
+func (s *server) age(now time.Time) float64 {
+	sum := int64(s.inFlight)*now.Sub(s.since).Nanoseconds() - s.startSum
+	return float64(max(sum, 0))
 }
 
-// hint is the factor from the load report, from 1 to 2: a report of an idle
-// server never makes it better than the own calls say, and one of a full
-// server at most doubles what they say.
+// hint is the factor from the load report, from 1 to 2. The report counts as
+// one call beside the node's own recent ones, so it matters where there are
+// few, and one that says idle never makes a server better than they show.
 func (s *server) hint(cfg Config, now time.Time) float64 {
 	if s.reportAt.IsZero() || s.report.Slots <= 0 {
 		return 1
 	}
 	busy := float64(s.report.InFlight+s.report.Queued) / float64(s.report.Slots)
 	age := float64(max(now.Sub(s.reportAt), 0)) / float64(cfg.ReportHalfLife)
-	return 1 + min(max(busy, 0), 1)*math.Exp2(-age)
+	own := s.answers * decay(now.Sub(s.sampledAt), cfg.LatencyDecay)
+	return 1 + min(max(busy, 0), 1)*math.Exp2(-age)/(1+own)
 }
--- a/internal/balance/stats.go
+++ b/internal/balance/stats.go
@@ -10,7 +10,7 @@
 
 // Config holds the constants of the balancer. Zero fields take defaults.
 type Config struct {
-	LatencyDecay   time.Duration // time constant of the peak EWMA
+	LatencyDecay   time.Duration // time constant in which latency samples fade
 	ReportHalfLife time.Duration // the weight of a load report halves in this time
 	SteerAway      time.Duration // after a refusal that names no time
 	SteerAwayMax   time.Duration // bound on the time that a refusal may name
@@ -154,7 +154,7 @@
 	var out []View
 	s.servers.Range(func(id string, v server) bool {
 		out = append(out, View{
-			ID: id, InFlight: v.inFlight, Latency: v.latency,
+			ID: id, InFlight: v.inFlight, Latency: v.mean(),
 			Ejected: v.ejected, EjectedUntil: v.ejectedUntil, SteerUntil: v.steerUntil,
 		})
 		return true
