--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -22,18 +22,36 @@
 const token = 1_000_000
 
 // budgetWindow is the time constant in which unspent tokens above
-// quietTokens expire, so that a long healthy time saves up no retry storm.
-const budgetWindow = 10 * time.Second
+// quietTokens expire. What is saved up at the start of a failure is sent on
+// top of the share, so the window is short against the length of a failure.
+const budgetWindow = 2 * time.Second
 
 // quietTokens never expires, so that a service with few calls gets to retry
-// one of every 1/share calls.
+// some of them.
 const quietTokens = token
 
+// When most calls ask for a retry, the whole service fails and retries are of
+// no use. Then saved tokens are dropped and calls earn less, which keeps the
+// calls sent during the failure under the share even with what was spent
+// before it was noticed.
+const (
+	// asksSmoothed is the weight of one call or request in the share of
+	// requests among both.
+	asksSmoothed = 1.0 / 32
+	// mostAsk is reached when over half of the calls ask for one retry.
+	mostAsk = 1.0 / 3
+	// earnWhileFailing is the part of its share that a call then earns.
+	earnWhileFailing = 0.5
+)
+
 type account struct {
 	tokens float64 // in millionths of a retry
+	asks   float64 // recent share of requests to Spend among calls and requests
 	at     time.Time
 }
 
+func (a account) failing() bool { return a.asks > mostAsk }
+
 // NewBudgets returns Budgets in which no service has earned a retry.
 func NewBudgets() *Budgets {
 	return &Budgets{accounts: shard.NewMap[account](shard.DefaultCount)}
@@ -45,6 +63,11 @@
 	earned := math.Floor(share*token + 0.5)
 	b.accounts.Update(service, func(a account, ok bool) (account, bool) {
 		a = a.expire(now)
+		a.asks -= asksSmoothed * a.asks
+		if a.failing() {
+			a.tokens += max(earned, 0) * earnWhileFailing
+			return a, true
+		}
 		a.tokens += max(earned, 0)
 		return a, true
 	})
@@ -59,6 +82,10 @@
 	spent := false
 	b.accounts.Update(service, func(a account, ok bool) (account, bool) {
 		a = a.expire(now)
+		a.asks += asksSmoothed * (1 - a.asks)
+		if a.failing() {
+			a.tokens = min(a.tokens, quietTokens)
+		}
 		if a.tokens >= token {
 			a.tokens -= token
 			spent = true
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -114,15 +114,11 @@
 	return a.Outcome == Ran && a.Status < http.StatusInternalServerError
 }
 
-// finalStatus reports whether a server's own answer would be the same again.
+// finalStatus reports whether a server's own answer is not retried here. With
+// 502 and 504 the server says that one behind it failed, and the layer next to
+// that has had its tries. Only 500 and 503 may differ on another server.
 func (a Attempt) finalStatus() bool {
-	if a.Outcome != Ran {
-		return false
-	}
-	switch a.Status {
-	case http.StatusInternalServerError, http.StatusBadGateway,
-		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return false
-	}
-	return true
+	return a.Outcome == Ran &&
+		a.Status != http.StatusInternalServerError &&
+		a.Status != http.StatusServiceUnavailable
 }
