Measure servers lost to one request and tell the cause from its company

Change: quarantine also needs one crash in which no other request in flight was under suspicion. As a server runs one suspect at a time, the next crash brings that. The mark joins as a maximum, like the other fields.

--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -24,7 +24,11 @@
 type Entry struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Crashes     []Crash     `json:"crashes,omitempty"` // newest first, one for each server
-	ClearedAt   int64       `json:"clearedAt,omitempty"`
+	// SoleAt is the newest crash in which no other request in flight was under
+	// suspicion. Crashes of several servers alone do not tell the cause from
+	// requests that were in flight beside it each time.
+	SoleAt    int64 `json:"soleAt,omitempty"`
+	ClearedAt int64 `json:"clearedAt,omitempty"`
 }
 
 const (
@@ -42,6 +46,9 @@
 // it is commutative, associative and idempotent.
 func join(a, b Entry) Entry {
 	out := Entry{Fingerprint: a.Fingerprint, ClearedAt: max(a.ClearedAt, b.ClearedAt)}
+	if sole := max(a.SoleAt, b.SoleAt); sole > out.ClearedAt {
+		out.SoleAt = sole
+	}
 	for _, c := range a.Crashes {
 		out.add(c)
 	}
@@ -73,7 +80,7 @@
 }
 
 func (e Entry) equal(o Entry) bool {
-	return e.ClearedAt == o.ClearedAt && slices.Equal(e.Crashes, o.Crashes)
+	return e.ClearedAt == o.ClearedAt && e.SoleAt == o.SoleAt && slices.Equal(e.Crashes, o.Crashes)
 }
 
 // latest returns the time of the newest crash or clear.
@@ -100,20 +107,26 @@
 	if len(e.Crashes) == 0 || now.UnixNano()-e.Crashes[0].At >= expiry.Nanoseconds() {
 		return Clear
 	}
+	oldest := e.Crashes[0].At - expiry.Nanoseconds()
+	if e.SoleAt > oldest && e.repeated(oldest) {
+		return Quarantined
+	}
+	return Suspect
+}
+
+// repeated reports whether enough servers crashed after a time.
+func (e Entry) repeated(oldest int64) bool {
 	servers := 0
 	for _, c := range e.Crashes {
-		if e.Crashes[0].At-c.At >= expiry.Nanoseconds() {
+		if c.At <= oldest {
 			continue
 		}
 		servers++
 		if c.Count >= crashesOfOneServer {
-			return Quarantined
+			return true
 		}
 	}
-	if servers >= serversToQuarantine {
-		return Quarantined
-	}
-	return Suspect
+	return servers >= serversToQuarantine
 }
 
 // servers returns the servers that crashed.
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -87,17 +87,37 @@
 // Crash records that a server crashed with requests in flight, and returns
 // the entries to pass on to other nodes. Several nodes may report one crash.
 func (l *List) Crash(server string, inFlight []Fingerprint, now time.Time) []Entry {
+	inFlight = slices.Compact(slices.Sorted(slices.Values(inFlight)))
+	sole, known := l.sole(inFlight, now)
 	var out []Entry
 	for _, fp := range inFlight {
 		out = append(out, l.change(fp, now, func(r record) record {
-			r.entry = l.withCrash(r.entry, server, now)
+			r.entry = l.withCrash(r.entry, server, known && fp == sole, now)
 			return r
 		})...)
 	}
 	return out
 }
 
-func (l *List) withCrash(e Entry, server string, now time.Time) Entry {
+// sole returns the one request in flight that explains a crash: the only one,
+// or the only one that was under suspicion or in quarantine before.
+func (l *List) sole(inFlight []Fingerprint, now time.Time) (Fingerprint, bool) {
+	if len(inFlight) == 1 {
+		return inFlight[0], true
+	}
+	var before []Fingerprint
+	for _, fp := range inFlight {
+		if l.Check(fp, now).State != Clear {
+			before = append(before, fp)
+		}
+	}
+	if len(before) != 1 {
+		return 0, false
+	}
+	return before[0], true
+}
+
+func (l *List) withCrash(e Entry, server string, sole bool, now time.Time) Entry {
 	c := Crash{Server: server, At: max(now.UnixNano(), e.ClearedAt+1), Count: 1}
 	for _, have := range e.Crashes {
 		if have.Server != server {
@@ -108,7 +128,11 @@
 		}
 		c.Count = have.Count + 1
 	}
-	return join(e, Entry{Fingerprint: e.Fingerprint, Crashes: []Crash{c}})
+	add := Entry{Fingerprint: e.Fingerprint, Crashes: []Crash{c}}
+	if sole {
+		add.SoleAt = c.At
+	}
+	return join(e, add)
 }
 
 // Success records that a backend server answered a request, with whatever
@@ -240,5 +264,9 @@
 	return out
 }
 
-// State returns what an entry means at a time.
-func (l *List) State(e Entry, now time.Time) State { return e.state(now, l.cfg.Expiry) }
+// Entry returns the entry of a fingerprint, to be sent along with a call so
+// that the node beside the server knows a suspect.
+func (l *List) Entry(fp Fingerprint) (Entry, bool) {
+	r, ok := l.records.Get(fp.String())
+	return r.entry, ok && len(r.entry.Crashes) > 0
+}
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -64,12 +64,30 @@
 	switch s.event {
 	case "crash":
 		return l.Crash(s.server, []Fingerprint{poison}, at(s.at))
+	case "shared crash":
+		return l.Crash(s.server, []Fingerprint{poison, 8}, at(s.at))
 	case "success":
 		return l.Success(poison, at(s.at))
 	}
 	return l.Lift(poison, at(s.at))
 }
 
+// Guards requests that were in flight beside the cause on two servers: only
+// the one that crashes a server without another suspect is quarantined.
+func TestCauseIsToldFromCompany(t *testing.T) {
+	l := NewList(Config{})
+	const company, other Fingerprint = 8, 9
+	l.Crash("a", []Fingerprint{poison, company}, at(0))
+	l.Crash("b", []Fingerprint{company, poison, other, poison}, at(1))
+	assert.Equal(t, l.Check(poison, at(2)).State, Suspect)
+	assert.Equal(t, l.Check(company, at(2)).State, Suspect)
+	l.Success(other, at(2))
+	l.Crash("c", []Fingerprint{other, poison}, at(3))
+	assert.Equal(t, l.Check(poison, at(4)).State, Quarantined)
+	assert.Equal(t, l.Check(company, at(4)).State, Suspect)
+	assert.Equal(t, l.Check(other, at(4)).State, Suspect)
+}
+
 // Guards against nodes that disagree for good: crashes and clears that cross
 // in flight, in any order and repeated, end the same on every node.
 func TestMergeConverges(t *testing.T) {
@@ -79,7 +97,7 @@
 		for range rapid.IntRange(1, 12).Draw(t, "events") {
 			s := step{
 				at:     rapid.IntRange(0, 5000).Draw(t, "ms"),
-				event:  rapid.SampledFrom([]string{"crash", "crash", "success", "lift"}).Draw(t, "event"),
+				event:  rapid.SampledFrom([]string{"crash", "shared crash", "success", "lift"}).Draw(t, "event"),
 				server: rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"}).Draw(t, "server"),
 			}
 			node := rapid.SampledFrom(nodes).Draw(t, "node")
