Give operators the whole life of a document on the command line

Cause: goldcrestctl could publish files, retire, list and check. A folder could not be published as a set, nobody could see an older version, and the loser of an edit race was not told who had won. A lost answer ended the command with an unknown outcome although the log could tell.

Submit goes through platformlog.Writer and reads the verdict from the fold, also after the log was restarted. Refusals name their documents, and an anchor reports the verdicts of the records buffered before it, so a history is complete as far back as the log goes.

The fold's rule on repeated ids is guarded by TestFoldRules; here the base check hides it.

--- /dev/null
+++ b/cmd/goldcrestctl/check.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+)
+
+// checkResult counts documents without findings.
+type checkResult struct {
+	Documents int `json:"documents"`
+}
+
+func (r checkResult) writeText(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "%d documents without findings\n", r.Documents)
+	return err
+}
+
+func (c *cli) newCheckCommand() *cobra.Command {
+	var output outputFlag
+	cmd := &cobra.Command{
+		Use: "check FILE...|DIR...", Short: "Check documents without a log", Args: usage(cobra.MinimumNArgs(1)),
+		Long: `Check documents without a log, with the findings that publish would report. Whether a selection names a profile
+that is in force is known only to the log.`,
+		RunE: func(cmd *cobra.Command, paths []string) error {
+			set, err := readDocuments(paths)
+			return output.print(cmd.OutOrStdout(), checkResult{Documents: len(set.docs)}, err)
+		},
+	}
+	output.add(cmd)
+	return cmd
+}
+
+// versionResult tells which build this is.
+type versionResult struct {
+	Version string `json:"version"`
+	Schema  int    `json:"schema"` // of documents and records
+	Go      string `json:"go"`
+}
+
+func (r versionResult) writeText(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "goldcrestctl %s, schema %d, %s\n", r.Version, r.Schema, r.Go)
+	return err
+}
+
+func (c *cli) newVersionCommand() *cobra.Command {
+	var output outputFlag
+	cmd := &cobra.Command{
+		Use: "version", Short: "Print the version of this build and of its schema", Args: usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			r := versionResult{Version: "unknown", Schema: profile.SchemaVersion, Go: runtime.Version()}
+			if info, ok := debug.ReadBuildInfo(); ok {
+				r.Version = info.Main.Version
+			}
+			return output.print(cmd.OutOrStdout(), r, nil)
+		},
+	}
+	output.add(cmd)
+	return cmd
+}
--- /dev/null
+++ b/cmd/goldcrestctl/exit.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/finding"
+	"github.com/goldcrestshed/goldcrestshed/internal/operator"
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+)
+
+// Exit codes, documented in rootHelp.
+const (
+	exitFailed   = 1
+	exitBadInput = 2
+	exitConflict = 3
+	exitUnknown  = 4
+)
+
+// errUsage marks errors of flags and arguments.
+var errUsage = errors.New("bad usage")
+
+func usageError(err error) error { return errors.Mark(err, errUsage) }
+
+// usage marks the errors of an argument check.
+func usage(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := check(cmd, args); err != nil {
+			return usageError(err)
+		}
+		return nil
+	}
+}
+
+func exitCode(err error) int {
+	var conflict *operator.ConflictError
+	var refused *operator.RefusedError
+	var missing *operator.NotInForceError
+	var large *operator.TooLargeError
+	var found finding.List
+	switch {
+	case errors.As(err, &conflict):
+		return exitConflict
+	case errors.As(err, &refused), errors.As(err, &missing), errors.As(err, &large), errors.As(err, &found), errors.Is(err, errUsage):
+		return exitBadInput
+	case errors.Is(err, platformlog.ErrUnknown):
+		return exitUnknown
+	}
+	return exitFailed
+}
--- a/cmd/goldcrestctl/main.go
+++ b/cmd/goldcrestctl/main.go
@@ -4,49 +4,55 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 	"github.com/spf13/cobra"
-
-	"github.com/goldcrestshed/goldcrestshed/internal/finding"
-	"github.com/goldcrestshed/goldcrestshed/internal/operator"
-	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
-)
-
-// Exit codes.
-const (
-	exitFailed   = 1
-	exitBadInput = 2
-	exitConflict = 3
-	exitUnknown  = 4
 )
 
 func main() {
-	if err := newCommand().Execute(); err != nil {
+	c := &cli{now: time.Now, newID: uuid.NewString}
+	if err := c.command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCode(err))
 	}
 }
 
-func exitCode(err error) int {
-	var refused *operator.RefusedError
-	var found finding.List
-	switch {
-	case errors.As(err, &refused) && refused.Conflict:
-		return exitConflict
-	case errors.As(err, &refused), errors.As(err, &found):
-		return exitBadInput
-	case errors.Is(err, platformlog.ErrUnknown):
-		return exitUnknown
-	}
-	return exitFailed
+// cli holds what the commands take from outside, so that tests fix it.
+type cli struct {
+	now   func() time.Time
+	newID func() string
 }
 
-func newCommand() *cobra.Command {
+const rootHelp = `Publish, revise and retire profiles, and watch the nodes.
+
+Exit codes:
+  0  done
+  1  failed; nothing was sent to the log, or the command changes nothing
+  2  bad input: flags, names, or documents with findings
+  3  lost the edit race; the message names who won and how the two differ
+  4  outcome unknown: the change was sent and could not be looked up`
+
+// command returns the whole command tree.
+func (c *cli) command() *cobra.Command {
 	root := &cobra.Command{
-		Use: "goldcrestctl", Short: "Publish, revise and retire profiles, and watch the nodes",
+		Use: "goldcrestctl", Short: "Publish, revise and retire profiles, and watch the nodes", Long: rootHelp,
 		SilenceErrors: true, SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return usageError(errors.Newf("unknown command %q for %q", args[0], cmd.CommandPath()))
+			}
+			return cmd.Help()
+		},
+		Args: cobra.ArbitraryArgs,
 	}
-	root.AddCommand(newInitCommand(), newPublishCommand(), newRetireCommand(), newListCommand(), newCheckCommand(), newDevCommand())
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError(err) })
+	root.AddCommand(
+		c.newInitCommand(), c.newPublishCommand(), c.newReviseCommand(), c.newRetireCommand(),
+		c.newListCommand(), c.newShowCommand(), c.newDiffCommand(), c.newHistoryCommand(),
+		c.newCheckCommand(), c.newVersionCommand(),
+		newDevCommand(),
+	)
 	return root
 }
--- /dev/null
+++ b/cmd/goldcrestctl/publish.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/operator"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+)
+
+// changeResult lists the versions that a change made.
+type changeResult struct {
+	Changes []changeRow `json:"changes"`
+}
+
+type changeRow struct {
+	Op       profile.Op      `json:"op"`
+	Document profile.Key     `json:"document"`
+	Version  profile.Version `json:"version"`
+}
+
+func (r changeResult) writeText(w io.Writer) error {
+	if len(r.Changes) == 0 {
+		_, err := fmt.Fprintln(w, "nothing to do")
+		return err
+	}
+	for _, c := range r.Changes {
+		if _, err := fmt.Fprintf(w, "%s %s version %s\n", c.Op, c.Document, c.Version); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// submit sends the edits as one change; without edits there is nothing to do.
+func submit(ctx context.Context, client *operator.Client, edits []profile.Edit) (result, error) {
+	r := changeResult{Changes: []changeRow{}}
+	if len(edits) == 0 {
+		return r, nil
+	}
+	s, err := client.Submit(ctx, edits)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range edits {
+		r.Changes = append(r.Changes, changeRow{Op: e.Op, Document: e.Key, Version: s.Entries[e.Key].Version})
+	}
+	return r, nil
+}
+
+// initResult is the answer of init.
+type initResult struct {
+	Initialised bool `json:"initialised"`
+}
+
+func (initResult) writeText(w io.Writer) error {
+	_, err := fmt.Fprintln(w, "the configuration is started, without documents")
+	return err
+}
+
+func (c *cli) newInitCommand() *cobra.Command {
+	var f logFlags
+	cmd := &cobra.Command{
+		Use: "init", Short: "Start an empty configuration on an empty log", Args: usage(cobra.NoArgs),
+		Long: `Start an empty configuration on an empty log. This is done once in the life of a system: when a log was
+lost or restarted, the nodes write what they hold into the new one, and init must not be run again.`,
+		RunE: f.run(func(cmd *cobra.Command, _ []string) (result, error) {
+			return initResult{Initialised: true}, c.client(&f).Init(cmd.Context())
+		}),
+	}
+	f.add(cmd)
+	f.addAuthor(cmd)
+	return cmd
+}
+
+const publishHelp = `Publish the documents of files and folders as one change: all of them are in force, or none.
+
+A folder holds the whole desired set of its documents, in files ending in .json, .jsonc or .hujson. Only documents
+that differ from those in force are sent, so the command may be run again at any time. With --prune, documents in
+force that the folders lack are retired in the same change.`
+
+func (c *cli) newPublishCommand() *cobra.Command {
+	var f logFlags
+	var prune bool
+	cmd := &cobra.Command{
+		Use: "publish FILE...|DIR...", Short: "Publish or revise documents, all or none", Long: publishHelp, Args: usage(cobra.MinimumNArgs(1)),
+		RunE: f.run(func(cmd *cobra.Command, paths []string) (result, error) {
+			set, err := readDocuments(paths)
+			if err != nil {
+				return nil, err
+			}
+			if prune && !set.folders {
+				return nil, usageError(errors.New("--prune needs folders, since a file does not hold the whole set"))
+			}
+			client := c.client(&f)
+			s, err := client.State(cmd.Context())
+			if err != nil {
+				return nil, err
+			}
+			edits := operator.PublishEdits(s, set.docs)
+			if prune {
+				edits = append(edits, operator.PruneEdits(s, set.docs)...)
+			}
+			return submit(cmd.Context(), client, edits)
+		}),
+	}
+	f.add(cmd)
+	f.addAuthor(cmd)
+	cmd.Flags().BoolVar(&prune, "prune", false, "retire the documents in force that the folders lack")
+	return cmd
+}
+
+const reviseHelp = `Revise documents that are in force, as one change.
+
+With --base the change is made against that version, such as the one that show printed. It loses the edit race
+(exit code 3) when someone has published another version since.`
+
+func (c *cli) newReviseCommand() *cobra.Command {
+	var f logFlags
+	var base string
+	cmd := &cobra.Command{
+		Use: "revise FILE...", Short: "Revise documents that are in force", Long: reviseHelp, Args: usage(cobra.MinimumNArgs(1)),
+		RunE: f.run(func(cmd *cobra.Command, paths []string) (result, error) {
+			set, err := readDocuments(paths)
+			if err != nil {
+				return nil, err
+			}
+			version, err := parseBase(base, len(set.docs))
+			if err != nil {
+				return nil, usageError(err)
+			}
+			client := c.client(&f)
+			s, err := client.State(cmd.Context())
+			if err != nil {
+				return nil, err
+			}
+			edits, err := operator.ReviseEdits(s, set.docs, version)
+			if err != nil {
+				return nil, err
+			}
+			return submit(cmd.Context(), client, edits)
+		}),
+	}
+	f.add(cmd)
+	f.addAuthor(cmd)
+	cmd.Flags().StringVar(&base, "base", "", "version that the document revises, such as 1.4; the newest if not given")
+	return cmd
+}
+
+func parseBase(text string, documents int) (*profile.Version, error) {
+	if text == "" {
+		return nil, nil
+	}
+	if documents != 1 {
+		return nil, errors.Newf("--base is for one document, the files hold %d", documents)
+	}
+	v, err := profile.ParseVersion(text)
+	return &v, err
+}
+
+func (c *cli) newRetireCommand() *cobra.Command {
+	var f logFlags
+	var selections bool
+	cmd := &cobra.Command{
+		Use: "retire NAME", Short: "Retire a profile, or a selection as selection/SERVICE", Args: usage(cobra.ExactArgs(1)),
+		ValidArgsFunction: c.completeNames(&f),
+		RunE: f.run(func(cmd *cobra.Command, args []string) (result, error) {
+			key, err := profile.ParseKey(args[0])
+			if err != nil {
+				return nil, usageError(err)
+			}
+			client := c.client(&f)
+			s, err := client.State(cmd.Context())
+			if err != nil {
+				return nil, err
+			}
+			edits, err := operator.RetireEdits(s, key, selections)
+			if err != nil {
+				return nil, err
+			}
+			return submit(cmd.Context(), client, edits)
+		}),
+	}
+	f.add(cmd)
+	f.addAuthor(cmd)
+	cmd.Flags().BoolVar(&selections, "selections", false, "also retire the selections that name the profile")
+	return cmd
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,160 @@
+// Package operator holds what goldcrestctl does, apart from flags and output:
+// it reads the configuration from the log and submits changes to it.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+)
+
+// ErrNotInitialised means that the log holds no genesis record or checkpoint.
+var ErrNotInitialised = errors.New("the log holds no configuration; run goldcrestctl init once")
+
+// ErrNewSchema means that the log holds records of a newer build.
+var ErrNewSchema = errors.New("the log holds records with a newer schema; use a newer goldcrestctl")
+
+// Client reads and changes the configuration.
+type Client struct {
+	log    platformlog.Log
+	author string
+	now    func() time.Time
+	newID  func() string
+	wait   time.Duration
+}
+
+// Option changes a Client from its defaults.
+type Option func(*Client)
+
+// WithWait keeps operations trying for a time while the log is unavailable.
+func WithWait(d time.Duration) Option { return func(c *Client) { c.wait = d } }
+
+// WithIDs takes the ids of records from a function instead of random UUIDs.
+func WithIDs(newID func() string) Option { return func(c *Client) { c.newID = newID } }
+
+// NewClient returns a client that signs changes with the author's name.
+func NewClient(log platformlog.Log, author string, now func() time.Time, options ...Option) *Client {
+	c := &Client{log: log, author: author, now: now, newID: uuid.NewString}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+const (
+	readBatch = 256
+	// maxRestarts bounds how often reading starts anew because records
+	// expired, or the log was restarted, between two reads.
+	maxRestarts = 5
+)
+
+// State reads the log to its end and returns the configuration.
+func (c *Client) State(ctx context.Context) (profile.State, error) {
+	fold, err := c.fold(ctx, nil)
+	if err != nil {
+		return profile.State{}, err
+	}
+	return fold.State(), nil
+}
+
+// observer is told the verdict of every record.
+type observer func(offset int64, v profile.Verdict, s profile.State)
+
+// fold reads the log from its first retained record to its end.
+func (c *Client) fold(ctx context.Context, seen observer) (*profile.Fold, error) {
+	for attempt := 1; ; attempt++ {
+		fold, err := c.foldOnce(ctx, seen)
+		var outside *platformlog.RangeError
+		if !errors.As(err, &outside) || attempt == maxRestarts {
+			return fold, err
+		}
+	}
+}
+
+func (c *Client) foldOnce(ctx context.Context, seen observer) (*profile.Fold, error) {
+	first, err := c.first(ctx)
+	if err != nil {
+		return nil, err
+	}
+	fold := profile.NewFold(first)
+	if err := c.readOn(ctx, fold, seen); err != nil {
+		return nil, err
+	}
+	if !fold.Anchored() {
+		return nil, errors.WithStack(ErrNotInitialised)
+	}
+	return fold, nil
+}
+
+func (c *Client) first(ctx context.Context) (int64, error) {
+	_, err := c.read(ctx, 0, 1)
+	var outside *platformlog.RangeError
+	if errors.As(err, &outside) {
+		return outside.First, nil
+	}
+	return 0, err
+}
+
+func (c *Client) read(ctx context.Context, from int64, limit int) (platformlog.Batch, error) {
+	b, err := platformlog.ReadUntil(ctx, c.log, time.Now().Add(c.wait), platformlog.StreamConfig, from, limit, 0)
+	return b, errors.Wrap(err, "read the configuration")
+}
+
+// readOn folds up to the end of the log.
+func (c *Client) readOn(ctx context.Context, fold *profile.Fold, seen observer) error {
+	for {
+		b, err := c.read(ctx, fold.Next(), readBatch)
+		if err != nil {
+			return err
+		}
+		for _, e := range b.Entries {
+			v := fold.Apply(e.Offset, e.Data)
+			if v.Outcome == profile.OutcomeNewSchema {
+				return errors.WithStack(ErrNewSchema)
+			}
+			if seen != nil {
+				seen(e.Offset, v, fold.State())
+			}
+		}
+		if len(b.Entries) == 0 {
+			return nil
+		}
+	}
+}
+
+// Init writes the genesis record of an empty log.
+func (c *Client) Init(ctx context.Context) error {
+	_, err := c.fold(ctx, nil)
+	if err == nil {
+		return errors.New("the log holds a configuration already")
+	}
+	if !errors.Is(err, ErrNotInitialised) {
+		return err
+	}
+	first, err := c.first(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = c.append(ctx, first, profile.Record{Kind: profile.RecordGenesis})
+	return err
+}
+
+// append writes a record with a fresh id and returns it as written.
+func (c *Client) append(ctx context.Context, known int64, rec profile.Record) (profile.Record, error) {
+	rec.ID, rec.Schema, rec.Author, rec.Time = c.newID(), profile.SchemaVersion, c.author, c.now().UTC()
+	data, err := json.Marshal(rec)
+	if err != nil {
+		return rec, errors.Wrap(err, "encode record")
+	}
+	if len(data) > platformlog.MaxRecordBytes {
+		return rec, errors.WithStack(&TooLargeError{Bytes: len(data)})
+	}
+	_, err = platformlog.NewWriter(c.log, c.wait).Append(ctx, platformlog.StreamConfig, known, data)
+	return rec, err
+}
--- /dev/null
+++ b/internal/operator/submit.go
@@ -0,0 +1,147 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/finding"
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+)
+
+// TooLargeError reports a change that does not fit into one record.
+type TooLargeError struct {
+	Bytes int
+}
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the change takes %d bytes, a record holds at most %d: publish fewer documents at once", e.Bytes, platformlog.MaxRecordBytes)
+}
+
+// RefusedError reports a change that the fold refused for its content.
+type RefusedError struct {
+	Findings finding.List
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "the change was refused:\n" + e.Findings.Error() }
+
+// ConflictError reports a change that lost the race against other operators.
+type ConflictError struct {
+	Losses   []Loss       `json:"losses"`
+	Findings finding.List `json:"findings"`
+}
+
+// Loss is one document of which another operator's version won.
+type Loss struct {
+	Key     profile.Key      `json:"key"`
+	Base    *profile.Version `json:"base,omitempty"` // version that the change revised
+	Winner  profile.Version  `json:"winner"`
+	Retired bool             `json:"retired,omitempty"` // the winner retired the document
+	Author  string           `json:"author"`            // of the winner
+	Time    time.Time        `json:"time"`
+	Diff    string           `json:"diff"` // from the winner's document to the change's
+}
+
+// String names the winner in one line.
+func (l Loss) String() string {
+	what := "published"
+	if l.Retired {
+		what = "retired it as"
+	}
+	return fmt.Sprintf("%s: %s %s version %s at %s", l.Key, l.Author, what, l.Winner, l.Time.Format(time.RFC3339))
+}
+
+// Error implements error. It names who won and how the two differ.
+func (e *ConflictError) Error() string {
+	var b strings.Builder
+	b.WriteString("the change lost the edit race, nothing of it is in force:\n")
+	b.WriteString(e.Findings.Error())
+	for _, l := range e.Losses {
+		fmt.Fprintf(&b, "\n%s\n%s", l, l.Diff)
+	}
+	return strings.TrimRight(b.String(), "\n")
+}
+
+// Submit appends a change and reads on until its verdict is known. It returns
+// the state that holds the change.
+//
+// It fails with *ConflictError or *RefusedError when the fold refused the
+// change, with ErrNotApplied when nothing was sent, and with ErrUnknown when
+// the change was sent and its verdict could not be read.
+func (c *Client) Submit(ctx context.Context, edits []profile.Edit) (profile.State, error) {
+	fold, err := c.fold(ctx, nil)
+	if err != nil {
+		return profile.State{}, err
+	}
+	rec, err := c.append(ctx, fold.Next(), profile.Record{Kind: profile.RecordChange, Edits: edits})
+	if err != nil {
+		return profile.State{}, err
+	}
+	s, err := c.await(ctx, fold, rec.ID)
+	if err != nil {
+		return profile.State{}, errors.Mark(err, platformlog.ErrUnknown)
+	}
+	return s, verdictOf(s, rec)
+}
+
+var errNotSeen = errors.New("the change is not in the log")
+
+// await folds until the record's verdict is part of the state.
+func (c *Client) await(ctx context.Context, fold *profile.Fold, id string) (profile.State, error) {
+	var decided *profile.State
+	seen := func(_ int64, _ profile.Verdict, s profile.State) {
+		if decided == nil && slices.Contains(s.Recent, id) {
+			decided = &s
+		}
+	}
+	err := c.readOn(ctx, fold, seen)
+	var outside *platformlog.RangeError
+	if decided == nil && errors.As(err, &outside) {
+		// The log was restarted since the change was appended.
+		_, err = c.fold(ctx, seen)
+	}
+	switch {
+	case decided != nil:
+		return *decided, nil
+	case err != nil:
+		return profile.State{}, err
+	}
+	return profile.State{}, errors.WithStack(errNotSeen)
+}
+
+// verdictOf returns why the change was refused, or nil. A change that the
+// fold knows and did not refuse was accepted.
+func verdictOf(s profile.State, rec profile.Record) error {
+	i := slices.IndexFunc(s.Refused, func(r profile.Refusal) bool { return r.RecordID == rec.ID })
+	if i < 0 {
+		return nil
+	}
+	refusal := s.Refused[i]
+	if !refusal.Conflict {
+		return errors.WithStack(&RefusedError{Findings: refusal.Findings})
+	}
+	return errors.WithStack(&ConflictError{Losses: losses(s, rec.Edits), Findings: refusal.Findings})
+}
+
+func losses(s profile.State, edits []profile.Edit) []Loss {
+	var out []Loss
+	for _, e := range edits {
+		have, ok := s.Entries[e.Key]
+		live := ok && !have.Retired
+		if !ok || (e.Base == nil && !live) || (e.Base != nil && *e.Base == have.Version) {
+			continue
+		}
+		out = append(out, Loss{
+			Key: e.Key, Base: e.Base, Winner: have.Version, Retired: have.Retired, Author: have.Author, Time: have.Time,
+			Diff: Diff(fmt.Sprintf("version %s by %s", have.Version, have.Author), "this change", have.Document, e.Document),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/operator/submit_test.go
@@ -0,0 +1,206 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/operator"
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/standin"
+)
+
+var agenda = profile.Key{Kind: profile.KindProfile, Name: "agenda"}
+
+func document(t *testing.T, timeout string) []profile.Document {
+	text := fmt.Sprintf(`{"kind":"profile","name":"agenda","routes":[{"name":"r","service":"agenda"}],"policy":{"timeout":%q}}`, timeout)
+	docs, found := profile.ParseFile("agenda.json", []byte(text))
+	assert.NilError(t, found.Err())
+	return docs
+}
+
+func publish(t *testing.T, c *operator.Client, timeout string) error {
+	s, err := c.State(t.Context())
+	if err != nil {
+		return err
+	}
+	_, err = c.Submit(t.Context(), operator.PublishEdits(s, document(t, timeout)))
+	return err
+}
+
+// initialised returns a log with a genesis record and the first version.
+func initialised(t *testing.T) *standin.Log {
+	l := standin.NewLog(time.Hour, time.Now)
+	c := operator.NewClient(l.Direct(), "ana", time.Now)
+	assert.NilError(t, c.Init(t.Context()))
+	assert.NilError(t, publish(t, c, "1s"))
+	return l
+}
+
+// before runs a function before the first append.
+type before struct {
+	platformlog.Log
+	once sync.Once
+	run  func()
+}
+
+func (b *before) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	b.once.Do(b.run)
+	return b.Log.Append(ctx, stream, data)
+}
+
+// Guards against a lost update, and against a loser who is not told who won,
+// with which version, and how the two differ.
+func TestLoserOfARaceIsToldWhoWon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := initialised(t)
+		ben := operator.NewClient(l.Direct(), "ben", time.Now)
+		race := &before{Log: l.Direct(), run: func() { assert.NilError(t, publish(t, ben, "2s")) }}
+		err := publish(t, operator.NewClient(race, "caro", time.Now), "3s")
+		var conflict *operator.ConflictError
+		assert.Assert(t, errors.As(err, &conflict), "%v", err)
+		assert.Equal(t, len(conflict.Losses), 1)
+		lost := conflict.Losses[0]
+		assert.Equal(t, lost.Author+" "+lost.Winner.String()+" over "+lost.Base.String(), "ben 1.2 over 1.1")
+		assert.Assert(t, strings.Contains(lost.Diff, `-    "timeout": "2s"`) && strings.Contains(lost.Diff, `+    "timeout": "3s"`), lost.Diff)
+		s, err := ben.State(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, s.Entries[agenda].Version.String(), "1.2")
+	})
+}
+
+// Guards against two winners, or none, when many operators edit at once.
+func TestManyOperatorsHaveOneWinnerARound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := initialised(t)
+		const operators, rounds = 8, 5
+		for round := range rounds {
+			s, err := operator.NewClient(l.Direct(), "ana", time.Now).State(t.Context())
+			assert.NilError(t, err)
+			errs := make([]error, operators)
+			var g sync.WaitGroup
+			for i := range operators {
+				edits := operator.PublishEdits(s, document(t, fmt.Sprintf("%ds", 10+round*operators+i)))
+				g.Go(func() {
+					_, errs[i] = operator.NewClient(l.Direct(), fmt.Sprint("op", i), time.Now).Submit(t.Context(), edits)
+				})
+			}
+			g.Wait()
+			won := 0
+			for _, err := range errs {
+				var conflict *operator.ConflictError
+				assert.Assert(t, err == nil || errors.As(err, &conflict), "%v", err)
+				if err == nil {
+					won++
+				}
+			}
+			assert.Equal(t, won, 1)
+		}
+	})
+}
+
+// Guards against a wrong report of a change's outcome and against a second
+// version from one change.
+func TestSubmitUnderFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		wait    time.Duration
+		faults  standin.LogFaults
+		later   time.Duration // when the faults end, or next begins
+		next    standin.LogFaults
+		want    error
+		version string // once the faults are over
+	}{
+		{name: "healthy", version: "1.2"},
+		{name: "down", faults: standin.LogFaults{Down: true}, want: platformlog.ErrNotApplied, version: "1.1"},
+		{name: "down for a while", wait: time.Minute, faults: standin.LogFaults{Down: true}, later: 20 * time.Second, version: "1.2"},
+		{name: "answer lost", faults: standin.LogFaults{LoseAnswers: 1}, version: "1.2"},
+		{name: "slow", faults: standin.LogFaults{SlowMs: 4000}, version: "1.2"},
+		{name: "applied after the time limit", faults: standin.LogFaults{SlowMs: 6000}, later: time.Second, version: "1.2"},
+		{name: "too slow for every read", faults: standin.LogFaults{SlowMs: 6000}, want: platformlog.ErrUnknown, version: "1.2"},
+		{name: "answer lost, then expired", faults: standin.LogFaults{LoseAnswers: 1}, later: -1,
+			next: standin.LogFaults{ExpireBefore: map[string]int64{platformlog.StreamConfig: 3}}, want: platformlog.ErrUnknown},
+		{name: "answer lost, then restarted", faults: standin.LogFaults{LoseAnswers: 1}, later: -1, next: standin.LogFaults{Reset: true}, want: platformlog.ErrUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := initialised(t)
+				log := &faultAtAppend{Log: l.Direct(), before: func() { l.SetFaults(c.faults) }, after: func() {
+					if c.later < 0 {
+						l.SetFaults(c.next)
+					}
+				}}
+				if c.later > 0 {
+					log.before = func() {
+						l.SetFaults(c.faults)
+						time.AfterFunc(c.later, func() { l.SetFaults(c.next) })
+					}
+				}
+				err := publish(t, operator.NewClient(log, "ben", time.Now, operator.WithWait(c.wait)), "2s")
+				assert.Assert(t, errors.Is(err, c.want), "%v", err)
+				l.SetFaults(standin.LogFaults{})
+				time.Sleep(time.Minute) // virtual: slow appends take effect
+				if c.version == "" {
+					return
+				}
+				s, err := operator.NewClient(l.Direct(), "ana", time.Now).State(t.Context())
+				assert.NilError(t, err)
+				assert.Equal(t, s.Entries[agenda].Version.String(), c.version)
+			})
+		})
+	}
+}
+
+// faultAtAppend changes the faults right before and after the first append.
+type faultAtAppend struct {
+	platformlog.Log
+	before, after func()
+	once          bool
+}
+
+func (f *faultAtAppend) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	if f.once {
+		return f.Log.Append(ctx, stream, data)
+	}
+	f.once = true
+	f.before()
+	defer f.after()
+	return f.Log.Append(ctx, stream, data)
+}
+
+// Guards against a history that ends, or a version that is invented, when the
+// records before a checkpoint have expired.
+func TestHistoryAfterExpiry(t *testing.T) {
+	l := initialised(t)
+	c := operator.NewClient(l.Direct(), "ben", time.Now)
+	assert.NilError(t, publish(t, c, "2s"))
+	s, err := c.State(t.Context())
+	assert.NilError(t, err)
+	data := checkpointRecord(t, s)
+	_, err = l.Direct().Append(t.Context(), platformlog.StreamConfig, data)
+	assert.NilError(t, err)
+	assert.NilError(t, publish(t, c, "3s"))
+	l.SetFaults(standin.LogFaults{ExpireBefore: map[string]int64{platformlog.StreamConfig: 3}})
+	events, err := c.History(t.Context(), agenda)
+	assert.NilError(t, err)
+	assert.Equal(t, len(events), 2)
+	assert.Equal(t, events[0].Version.Version.String()+" "+events[1].Version.Version.String(), "1.2 1.3")
+	_, err = c.Version(t.Context(), agenda, profile.Version{Era: 1, Number: 1})
+	assert.Error(t, err, "profile/agenda has no version 1.1 in the log, which holds: 1.2 1.3")
+}
+
+func checkpointRecord(t *testing.T, s profile.State) []byte {
+	data, err := json.Marshal(profile.Record{ID: "k", Kind: profile.RecordCheckpoint, Schema: profile.SchemaVersion, Checkpoint: profile.CheckpointOf(s)})
+	assert.NilError(t, err)
+	return data
+}
--- a/internal/profile/fold.go
+++ b/internal/profile/fold.go
@@ -37,6 +37,13 @@
 	Outcome  Outcome
 	Refusal  *Refusal // set with OutcomeRefused
 	Accepted []Entry  // versions that an accepted change made, in the order of its edits
+	Replayed []Replay // records buffered until this one, which anchored the fold
+}
+
+// Replay is the verdict of a record that was buffered.
+type Replay struct {
+	Offset  int64
+	Verdict Verdict
 }
 
 // reading is a record as it was read, or the reason why it is unreadable.
@@ -99,11 +106,18 @@
 	f.next = offset + 1
 	rec, err := decodeRecord(data)
 	r := reading{offset: offset, rec: rec, err: err}
-	if !f.anchored && !f.anchorOn(r) {
+	if f.anchored {
+		return f.fold(r)
+	}
+	start, ok := f.startAt(r)
+	if !ok {
 		f.buffer = append(f.buffer, r)
 		return Verdict{Outcome: OutcomeBuffered}
 	}
-	return f.fold(r)
+	replayed := f.anchor(start)
+	v := f.fold(r)
+	v.Replayed = replayed
+	return v
 }
 
 // schemaOf reads only the schema, since the rest of a record with a newer
@@ -138,23 +152,21 @@
 	return rec, nil
 }
 
-// anchorOn starts the fold when the record is a genesis record or a
-// checkpoint that leaves no gap to the first offset read, and reports whether
-// it did. The record itself is still to be folded.
-func (f *Fold) anchorOn(r reading) bool {
+// startAt returns the state to start from when the record is a genesis record
+// or a checkpoint that leaves no gap to the first offset read. The record
+// itself is still to be folded.
+func (f *Fold) startAt(r reading) (State, bool) {
 	switch {
 	case r.err != nil:
-		return false
+		return State{}, false
 	case r.rec.Kind == RecordGenesis && f.first == logStart:
 		// A later genesis record has no effect on readers that saw the first,
 		// so it must not be a start for readers that did not.
-		f.anchor(State{Position: Position{Era: firstEra, Offset: NoOffset}, Entries: map[Key]Entry{}})
-		return true
+		return State{Position: Position{Era: firstEra, Offset: NoOffset}, Entries: map[Key]Entry{}}, true
 	case r.rec.Kind == RecordCheckpoint && f.startsFrom(r):
-		f.anchor(r.rec.Checkpoint.state())
-		return true
+		return r.rec.Checkpoint.state(), true
 	}
-	return false
+	return State{}, false
 }
 
 func (f *Fold) startsFrom(r reading) bool {
@@ -173,25 +185,33 @@
 // anchor starts from a state and folds the buffered records after it. When
 // the state covers no offset of this log, the changes before it were written
 // to a log without a state, so nothing could be checked against them.
-func (f *Fold) anchor(s State) {
+func (f *Fold) anchor(s State) []Replay {
 	buffered := f.buffer
 	f.state, f.anchored, f.buffer = s, true, nil
+	var replayed []Replay
 	for _, b := range buffered {
-		switch {
-		case s.Position.Offset == NoOffset && b.err == nil && b.rec.Kind == RecordChange:
-			f.refuseUnanchored(b)
-		case b.offset > s.Position.Offset:
-			f.fold(b)
+		if b.offset <= s.Position.Offset {
+			continue
 		}
+		v := f.replay(b, s.Position.Offset == NoOffset)
+		replayed = append(replayed, Replay{Offset: b.offset, Verdict: v})
 	}
+	return replayed
 }
 
-func (f *Fold) refuseUnanchored(r reading) {
+func (f *Fold) replay(r reading, unanchored bool) Verdict {
+	if unanchored && r.err == nil && r.rec.Kind == RecordChange {
+		return f.refuseUnanchored(r)
+	}
+	return f.fold(r)
+}
+
+func (f *Fold) refuseUnanchored(r reading) Verdict {
 	if f.repeated(r.rec.ID) {
-		return
+		return Verdict{Outcome: OutcomeRepeated}
 	}
 	f.remember(r.rec.ID)
-	f.refuse(r, false, finding.List{{
+	return f.refuse(r, false, finding.List{{
 		Problem: "log not anchored", Allowed: "changes after the genesis record or the checkpoint of a restarted log",
 	}})
 }
@@ -255,7 +275,7 @@
 
 func (f *Fold) refuse(r reading, conflict bool, found finding.List) Verdict {
 	refusal := Refusal{
-		RecordID: r.rec.ID, Author: r.rec.Author, Time: r.rec.Time, Conflict: conflict, Findings: found,
+		RecordID: r.rec.ID, Author: r.rec.Author, Time: r.rec.Time, Keys: r.rec.keys(), Conflict: conflict, Findings: found,
 		Position: Position{Era: f.state.Position.Era, Offset: r.offset},
 	}
 	f.state.Refused = lastOf(append(slices.Clone(f.state.Refused), refusal), maxRefused)
--- a/internal/profile/record.go
+++ b/internal/profile/record.go
@@ -4,8 +4,12 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/goldcrestshed/goldcrestshed/internal/finding"
 )
 
@@ -72,6 +76,14 @@
 	Checkpoint *Checkpoint `json:"checkpoint,omitempty"`
 }
 
+func (r Record) keys() []Key {
+	var keys []Key
+	for _, e := range r.Edits {
+		keys = append(keys, e.Key)
+	}
+	return keys
+}
+
 // Op is what an edit does.
 type Op string
 
@@ -126,6 +138,30 @@
 	Author   string       `json:"author,omitempty"`
 	Time     time.Time    `json:"time"`
 	Position Position     `json:"position"`
-	Conflict bool         `json:"conflict"` // an edit named a version that is not the newest
+	Keys     []Key        `json:"keys,omitempty"` // documents that the change names
+	Conflict bool         `json:"conflict"`       // an edit named a version that is not the newest
 	Findings finding.List `json:"findings"`
 }
+
+// ParseVersion reads a version in the form of Version.String.
+func ParseVersion(text string) (Version, error) {
+	era, number, ok := strings.Cut(text, ".")
+	e, errEra := strconv.ParseUint(era, 10, 32)
+	n, errNumber := strconv.ParseUint(number, 10, 64)
+	if !ok || errEra != nil || errNumber != nil {
+		return Version{}, errors.Newf("%q is not a version, such as 1.4 (era 1, number 4)", text)
+	}
+	return Version{Era: uint32(e), Number: n}, nil
+}
+
+// ParseKey reads kind/name; a name alone stands for a profile.
+func ParseKey(text string) (Key, error) {
+	kind, name, ok := strings.Cut(text, "/")
+	if !ok {
+		kind, name = KindProfile, text
+	}
+	if name == "" || (kind != KindProfile && kind != KindSelection) {
+		return Key{}, errors.Newf("%q is not a document, such as vitrine, profile/vitrine or selection/vitrine", text)
+	}
+	return Key{Kind: kind, Name: name}, nil
+}
