--- a/cmd/goldcrestctl/logflags.go
+++ b/cmd/goldcrestctl/logflags.go
@@ -7,7 +7,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/operator"
-	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 )
 
@@ -38,7 +37,7 @@
 }
 
 func (c *cli) client(f *logFlags) *operator.Client {
-	return operator.NewClient(platformlog.NewClient(f.address, nil), f.author, c.now, operator.WithWait(f.wait), operator.WithIDs(c.newID))
+	return operator.NewClient(c.dial(f.address), f.author, c.now, operator.WithWait(f.wait), operator.WithIDs(c.newID))
 }
 
 // run makes a command's function of one that returns a result to print.
--- a/cmd/goldcrestctl/main.go
+++ b/cmd/goldcrestctl/main.go
@@ -3,26 +3,44 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/spf13/cobra"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
 )
 
 func main() {
-	c := &cli{now: time.Now, newID: uuid.NewString}
-	if err := c.command().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitCode(err))
+	c := &cli{
+		now: time.Now, newID: uuid.NewString,
+		dial: func(address string) platformlog.Log { return platformlog.NewClient(address, nil) },
 	}
+	os.Exit(c.execute(os.Args[1:], os.Stdout, os.Stderr))
 }
 
 // cli holds what the commands take from outside, so that tests fix it.
 type cli struct {
 	now   func() time.Time
 	newID func() string
+	dial  func(address string) platformlog.Log
+}
+
+// execute runs one command line and returns its exit code.
+func (c *cli) execute(args []string, stdout, stderr io.Writer) int {
+	root := c.command()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.Execute()
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(stderr, err)
+	return exitCode(err)
 }
 
 const rootHelp = `Publish, revise and retire profiles, and watch the nodes.
--- a/cmd/goldcrestctl/show.go
+++ b/cmd/goldcrestctl/show.go
@@ -44,7 +44,7 @@
 		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s", x.Position, x.Author, x.Time.Format(time.RFC3339), reason(x)))
 	}
 	fmt.Fprintln(w)
-	return writeTable(w, "REFUSED\tAUTHOR\tTIME\tREASON", rows)
+	return writeTable(w, "REFUSED AT\tAUTHOR\tTIME\tREASON", rows)
 }
 
 // reason is the first finding, and how many more there are.
--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -163,7 +163,7 @@
 		return
 	}
 	if !withinLimits(p.Elem(), tag) {
-		d.add(v, rangeText(tag), "%v is not allowed", p.Elem().Interface())
+		d.add(v, rangeText(tag), "%s is not allowed", string(lit))
 		return
 	}
 	out.Set(p.Elem())
@@ -212,6 +212,8 @@
 		return min + " or more"
 	case max != "":
 		return "at most " + max
+	case tag.Get("required") == "true":
+		return "a value that is not empty"
 	}
 	return ""
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -156,5 +156,8 @@
 		return rec, errors.WithStack(&TooLargeError{Bytes: len(data)})
 	}
 	_, err = platformlog.NewWriter(c.log, c.wait).Append(ctx, platformlog.StreamConfig, known, data)
+	if errors.Is(err, platformlog.ErrUnknown) {
+		err = errors.Wrap(err, "the change was sent and its outcome is unknown; run the command again")
+	}
 	return rec, err
 }
--- a/internal/operator/submit.go
+++ b/internal/operator/submit.go
@@ -86,6 +86,7 @@
 	}
 	s, err := c.await(ctx, fold, rec.ID)
 	if err != nil {
+		err = errors.Wrap(err, "the change is in the log and its verdict is unknown; run the command again")
 		return profile.State{}, errors.Mark(err, platformlog.ErrUnknown)
 	}
 	return s, verdictOf(s, rec)
