--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	edits, err := operator.RetireEdits(before, serviceName, true)
+	edits, err := operator.RetireEdits(before, profile.Key{Kind: profile.KindProfile, Name: serviceName}, true)
 	if err != nil {
 		return err
 	}
--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -212,6 +212,8 @@
 		return min + " or more"
 	case max != "":
 		return "at most " + max
+	case tag.Get("required") == "true":
+		return "a value that is not empty"
 	}
 	return ""
 }
