Steer away from servers only for refusals that concern the server

Cause: every refusal steered calls away for 100 ms, also one because of the request (quarantined, key refused), so one bad request could keep a healthy server without calls. A probe that was refused was repeated by the next call. Change: only a retry-after or a failed connection steers; a refused probe waits for the retry-after. Candidates are kept once instead of copied through each filter. Each of the two new cases and the refused probe fail with their condition taken out.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -108,13 +108,14 @@
 	// Failed means that the server failed the call: no connection, a cut
 	// connection, a time limit, or a 5xx status of the server's own.
 	Failed bool
-	// NotRun means that the call was refused before it ran. Its latency says
-	// nothing about the server's work.
+	// NotRun means that the call was refused before it ran, or not sent. Its
+	// latency says nothing about the server's work.
 	NotRun bool
 	// Canceled means that the caller or a faster hedge ended the attempt.
 	Canceled bool
-	// RetryAfter steers calls away from a server that refused one. Zero takes
-	// a default.
+	// RetryAfter steers calls away from a server that refused one. A refusal
+	// because of load or drain needs one; without it the refusal counts as one
+	// because of the request, unless Failed is set too.
 	RetryAfter time.Duration
 	// Report is the load report in the answer, if any.
 	Report *LoadReport
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -38,7 +38,7 @@
 	if c, ok := b.probe(now, r, all); ok {
 		return c, nil
 	}
-	all = slices.DeleteFunc(all, func(c candidate) bool {
+	all = slices.DeleteFunc(all, func(c *candidate) bool {
 		return c.removed || slices.Contains(r.Exclude, c.endpoint.ID)
 	})
 	if len(all) == 0 {
@@ -46,7 +46,7 @@
 	}
 	limit := r.Service.Policy.CrossRegionBytesPerSecond
 	if !b.across.allowed(now, limit) {
-		all = slices.DeleteFunc(all, func(c candidate) bool { return c.tier == TierAcross })
+		all = slices.DeleteFunc(all, func(c *candidate) bool { return c.tier == TierAcross })
 	}
 	if len(all) == 0 {
 		return Choice{}, ErrCrossRegionSpent
@@ -74,14 +74,14 @@
 	return out
 }
 
-func (b *Balancer) candidates(now time.Time, s *snapshot.Service) []candidate {
-	all := make([]candidate, 0, len(s.Endpoints))
-	for _, e := range s.Endpoints {
-		all = append(all, candidate{
-			endpoint: e,
-			server:   b.stats.state(e.ID, e.Incarnation, now),
-			tier:     b.local.TierOf(e),
-		})
+func (b *Balancer) candidates(now time.Time, s *snapshot.Service) []*candidate {
+	states := make([]candidate, len(s.Endpoints))
+	all := make([]*candidate, len(s.Endpoints))
+	for i, e := range s.Endpoints {
+		all[i] = &states[i]
+		all[i].endpoint = e
+		all[i].server = b.stats.state(e.ID, e.Incarnation, now)
+		all[i].tier = b.local.TierOf(e)
 	}
 	b.applyCap(all)
 	return all
@@ -89,28 +89,28 @@
 
 // applyCap honours ejections, oldest first, up to a share of the service.
 // The rest keep their calls: a whole failing service is still tried.
-func (b *Balancer) applyCap(all []candidate) {
-	var ejected []int
-	for i := range all {
-		if all[i].server.ejected {
-			ejected = append(ejected, i)
+func (b *Balancer) applyCap(all []*candidate) {
+	var ejected []*candidate
+	for _, c := range all {
+		if c.server.ejected {
+			ejected = append(ejected, c)
 		}
 	}
-	slices.SortFunc(ejected, func(i, j int) int {
+	slices.SortFunc(ejected, func(x, y *candidate) int {
 		return cmp.Or(
-			all[i].server.ejectedAt.Compare(all[j].server.ejectedAt),
-			cmp.Compare(all[i].endpoint.ID, all[j].endpoint.ID),
+			x.server.ejectedAt.Compare(y.server.ejectedAt),
+			cmp.Compare(x.endpoint.ID, y.endpoint.ID),
 		)
 	})
 	most := int(b.stats.cfg.EjectShare * float64(len(all)))
-	for _, i := range ejected[:min(most, len(ejected))] {
-		all[i].removed = true
+	for _, c := range ejected[:min(most, len(ejected))] {
+		c.removed = true
 	}
 }
 
 // probe sends a first attempt to an ejected server whose time is over.
 // Retries and hedges are no probes: they need a server that answers.
-func (b *Balancer) probe(now time.Time, r Request, all []candidate) (Choice, bool) {
+func (b *Balancer) probe(now time.Time, r Request, all []*candidate) (Choice, bool) {
 	if len(r.Exclude) > 0 {
 		return Choice{}, false
 	}
@@ -130,8 +130,8 @@
 }
 
 // steered drops the servers that asked for no calls, unless all did.
-func steered(now time.Time, all []candidate) []candidate {
-	free := make([]candidate, 0, len(all))
+func steered(now time.Time, all []*candidate) []*candidate {
+	free := make([]*candidate, 0, len(all))
 	for _, c := range all {
 		if !now.Before(c.server.steerUntil) {
 			free = append(free, c)
@@ -145,7 +145,7 @@
 
 // choose takes the best of two of the nearest tier and moves on to the next
 // tier while that expects to be much faster.
-func (b *Balancer) choose(now time.Time, all []candidate) Choice {
+func (b *Balancer) choose(now time.Time, all []*candidate) Choice {
 	fallback := meanLatency(all)
 	var best Choice
 	for t := TierDomain; t < tierCount; t++ {
@@ -169,8 +169,8 @@
 	return float64(near.Expected) > b.stats.cfg.SpillRatio*float64(far.Expected)+float64(between)
 }
 
-func inTier(all []candidate, t Tier) []candidate {
-	var out []candidate
+func inTier(all []*candidate, t Tier) []*candidate {
+	var out []*candidate
 	for _, c := range all {
 		if c.tier == t {
 			out = append(out, c)
@@ -181,7 +181,7 @@
 
 // meanLatency stands in for the latency of unmeasured servers: neither better
 // nor worse than the rest. Before any measurement all are equal.
-func meanLatency(all []candidate) time.Duration {
+func meanLatency(all []*candidate) time.Duration {
 	var sum time.Duration
 	n := 0
 	for _, c := range all {
@@ -196,7 +196,7 @@
 	return sum / time.Duration(n)
 }
 
-func (b *Balancer) bestOfTwo(now time.Time, tier []candidate, fallback time.Duration) Choice {
+func (b *Balancer) bestOfTwo(now time.Time, tier []*candidate, fallback time.Duration) Choice {
 	first := b.draw(now, tier, -1)
 	best := b.price(now, tier[first], fallback)
 	if len(tier) == 1 {
@@ -209,14 +209,14 @@
 	return best
 }
 
-func (b *Balancer) price(now time.Time, c candidate, fallback time.Duration) Choice {
+func (b *Balancer) price(now time.Time, c *candidate, fallback time.Duration) Choice {
 	expected := c.server.expected(b.stats.cfg, now, fallback)
 	return Choice{Endpoint: c.endpoint, Tier: c.tier, Expected: expected}
 }
 
 // draw picks an index at random in proportion to the cold-start weights,
 // leaving out one index.
-func (b *Balancer) draw(now time.Time, tier []candidate, without int) int {
+func (b *Balancer) draw(now time.Time, tier []*candidate, without int) int {
 	total := 0.0
 	for i := range tier {
 		if i != without {
--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -147,6 +147,14 @@
 			history: func(b *Balancer) {
 				answer(b, "s0", warm, Result{Latency: ms, NotRun: true, RetryAfter: 300 * ms})
 			}, after: 299 * ms},
+		{name: "a server that cannot be reached is left at once", places: []string{"west/w1", "west/w2"}, none: "s0",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, Result{Latency: ms, NotRun: true, Failed: true})
+			}, after: 99 * ms},
+		{name: "a refusal because of the request steers nothing away", places: []string{"west/w1", "west/w2"}, all: "s0",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, Result{Latency: ms, NotRun: true})
+			}},
 		{name: "retry-after ends", places: []string{"west/w1", "west/w2"}, all: "s0",
 			history: func(b *Balancer) {
 				answer(b, "s0", warm, Result{Latency: ms, NotRun: true, RetryAfter: 300 * ms})
@@ -245,6 +253,12 @@
 	c, err = b.Pick(due, r)
 	assert.NilError(t, err)
 	assert.Assert(t, c.Probe)
+	answer(b, "s0", due, Result{Latency: time.Millisecond, NotRun: true, RetryAfter: time.Second})
+	assert.Equal(t, shares(t, b, due, r)["s1"], 1.0, "a refused probe waits for the retry-after")
+	due = due.Add(time.Second)
+	c, err = b.Pick(due, r)
+	assert.NilError(t, err)
+	assert.Assert(t, c.Probe)
 	answer(b, "s0", due, Result{Latency: time.Millisecond})
 	assert.Equal(t, len(b.Ejected(due, r.Service)), 0)
 }
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -135,14 +135,16 @@
 	return math.Exp(-float64(age) / float64(constant))
 }
 
+// steer keeps calls away from a server that asked for it or that could not be
+// reached. Other refusals are about the request and say nothing of the server.
 func (s *server) steer(cfg Config, now time.Time, r Result) {
-	if !r.NotRun {
-		return
-	}
 	wait := r.RetryAfter
-	if wait <= 0 {
+	if wait <= 0 && r.Failed {
 		wait = cfg.SteerAway
 	}
+	if !r.NotRun || wait <= 0 {
+		return
+	}
 	if until := now.Add(min(wait, cfg.SteerAwayMax)); until.After(s.steerUntil) {
 		s.steerUntil = until
 	}
@@ -217,9 +219,13 @@
 	s.since = now
 }
 
-// probeDue reports whether an ejected server may get its one probe call.
+// probeDue reports whether an ejected server may get its one probe call. A
+// probe that was refused is repeated when the server's retry-after is over.
 func (s *server) probeDue(now time.Time) bool {
-	return s.ejected && !now.Before(s.ejectedUntil) && !now.Before(s.probeUntil)
+	return s.ejected &&
+		!now.Before(s.ejectedUntil) &&
+		!now.Before(s.probeUntil) &&
+		!now.Before(s.steerUntil)
 }
 
 // weight is the share of draws that a server gets while it starts cold.
--- a/internal/balance/stats.go
+++ b/internal/balance/stats.go
@@ -12,7 +12,7 @@
 type Config struct {
 	LatencyDecay   time.Duration // time constant in which latency samples fade
 	ReportHalfLife time.Duration // the weight of a load report halves in this time
-	SteerAway      time.Duration // after a refusal that names no time
+	SteerAway      time.Duration // after a server could not be reached
 	SteerAwayMax   time.Duration // bound on the time that a refusal may name
 	ColdStart      time.Duration // length of the cold-start ramp
 	ColdWeight     float64       // weight at the start of the ramp
