--- a/bench/retry.go
+++ b/bench/retry.go
@@ -63,6 +63,7 @@
 	{note: "depth 16, marked by nodes", depth: retryDeepest, rate: 400, failing: retryFailing, failure: answerCut, marked: true, status: 500},
 	{note: "depth 16, unmarked, servers answer 502", depth: retryDeepest, rate: 400, failing: retryFailing, failure: answerCut, status: 502},
 	{note: "depth 16, unmarked, servers answer 500", depth: retryDeepest, rate: 400, failing: retryFailing, failure: answerCut, status: 500},
+	{note: "depth 16, unmarked, servers answer 500 for 5 s", depth: retryDeepest, rate: 400, failing: 5 * time.Second, failure: answerCut, status: 500},
 }
 
 func measureRetry(ctx context.Context, seed int64, report func(Result)) error {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -31,17 +31,15 @@
 const quietTokens = token
 
 // When most calls ask for a retry, the whole service fails and retries are of
-// no use. Then saved tokens are dropped and calls earn less, which keeps the
-// calls sent during the failure under the share even with what was spent
-// before it was noticed.
+// no use. Then saved tokens are dropped and calls earn none, so that the calls
+// sent stay under the share even with what was spent before it was noticed,
+// and layers above that cannot see where the failure is do not multiply it.
 const (
 	// asksSmoothed is the weight of one call or request in the share of
 	// requests among both.
 	asksSmoothed = 1.0 / 32
 	// mostAsk is reached when over half of the calls ask for one retry.
 	mostAsk = 1.0 / 3
-	// earnWhileFailing is the part of its share that a call then earns.
-	earnWhileFailing = 0.5
 )
 
 type account struct {
@@ -64,11 +62,9 @@
 	b.accounts.Update(service, func(a account, ok bool) (account, bool) {
 		a = a.expire(now)
 		a.asks -= asksSmoothed * a.asks
-		if a.failing() {
-			a.tokens += max(earned, 0) * earnWhileFailing
-			return a, true
+		if !a.failing() {
+			a.tokens += max(earned, 0)
 		}
-		a.tokens += max(earned, 0)
 		return a, true
 	})
 }
