Document how the proxy uses the decision packages

Cause: End called at the end of a streamed body would make a server look stuck, and a hedged suspect endangers two servers at once; the signatures show neither. Change: package comments with the order of calls, End at the first byte. Conclusion: no change of behaviour.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -4,6 +4,9 @@
 // The node's own calls are the evidence: latency, calls in flight, failures.
 // Load reports from other nodes lag or mislead, so they only ever scale a
 // choice by a bounded factor.
+//
+// An attempt is one Balancer.Pick, then Stats.Begin when it is sent and one
+// Stats.End when it was answered, failed or was cancelled.
 package balance
 
 import (
--- a/internal/balance/stats.go
+++ b/internal/balance/stats.go
@@ -85,7 +85,10 @@
 	})
 }
 
-// End records what became of a call. Each Begin needs one End.
+// End records what became of a call. Each Begin needs one End, at the first
+// byte of the answer, the failure or the cancellation. Calls in flight count
+// with their age, so an answer that streams for long would otherwise look like
+// a server that has stopped answering.
 func (s *Stats) End(id string, now time.Time, r Result) {
 	s.servers.Update(id, func(v server, ok bool) (server, bool) {
 		if !ok {
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -1,5 +1,13 @@
 // Package quarantine finds requests that crash backend servers and refuses
 // them. It does no I/O and reads no clock.
+//
+// The node that routes a request holds a Pass of List.Send until the call
+// ends, sends it to none of the servers in Verdict.Avoid if there is another,
+// and sends the Entry of a suspect along. A suspect is not hedged, since that
+// endangers two servers at once. The node beside the server merges that entry,
+// holds a Pass of List.Run while the server runs the request, and reports
+// Crash or Success. Every entry returned goes to the node that sent the
+// request and to the neighbours.
 package quarantine
 
 import (
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -1,6 +1,11 @@
 // Package retry decides which calls are sent again: budgets that bound
 // retries and hedges, rules on what may be retried, and the time after which a
 // call is hedged. It does no I/O and reads no clock.
+//
+// A node records each call with Budgets.Call. When an attempt ends without an
+// answer to pass on, it asks Decide, and for TryNext also Budgets.Spend; if
+// either says no, it answers with ReasonExhausted, but for PassOn as it is. A
+// hedge is sent after Latencies.HedgeAfter, if Budgets.Spend allows it.
 package retry
 
 import (
