--- a/internal/balance/stats.go
+++ b/internal/balance/stats.go
@@ -12,7 +12,7 @@
 type Config struct {
 	LatencyDecay   time.Duration // time constant in which latency samples fade
 	ReportHalfLife time.Duration // the weight of a load report halves in this time
-	SteerAway      time.Duration // after a refusal that names no time
+	SteerAway      time.Duration // after a server could not be reached
 	SteerAwayMax   time.Duration // bound on the time that a refusal may name
 	ColdStart      time.Duration // length of the cold-start ramp
 	ColdWeight     float64       // weight at the start of the ramp
@@ -85,7 +85,10 @@
 	})
 }
 
-// End records what became of a call. Each Begin needs one End.
+// End records what became of a call. Each Begin needs one End, at the first
+// byte of the answer, the failure or the cancellation. Calls in flight count
+// with their age, so an answer that streams for long would otherwise look like
+// a server that has stopped answering.
 func (s *Stats) End(id string, now time.Time, r Result) {
 	s.servers.Update(id, func(v server, ok bool) (server, bool) {
 		if !ok {
