--- a/internal/once/batcher.go
+++ b/internal/once/batcher.go
@@ -119,7 +119,7 @@
 	case out := <-r.result:
 		return out.verdict, out.err
 	case <-r.ctx.Done():
-		return Verdict{}, errors.Mark(errors.Wrap(r.ctx.Err(), "claim or settlement"), ErrUndecided)
+		return Verdict{}, errors.Wrap(ErrUndecided, r.ctx.Err().Error())
 	}
 }
 
--- /dev/null
+++ b/internal/once/batcher_test.go
@@ -0,0 +1,169 @@
+package once
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+)
+
+// claims sends claims for fresh keys at an even pace.
+func (c *cluster) claims(count int, every time.Duration) {
+	var all sync.WaitGroup
+	for range count {
+		k := c.key()
+		all.Go(func() {
+			_, err := c.batchers[0].Claim(c.ctx, Claim{ID: k.Text, Key: k})
+			assert.Check(c.t, err)
+		})
+		time.Sleep(every)
+	}
+	all.Wait()
+}
+
+// Guards the log's capacity: 20 appends a second for any number of claims, and
+// none for repeats of a key that is held. An idle batcher appends at once.
+func TestBatcherPacesAppends(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		start, before := time.Now(), c.log.count()
+		c.claims(1, 0)
+		assert.Assert(t, time.Since(start) < appendEvery)
+		c.claims(500, 2*time.Millisecond)
+		took := time.Since(start)
+		assert.Assert(t, c.log.count()-before <= 2+int(took/appendEvery), "%d appends in %s", c.log.count()-before, took)
+		k := c.key()
+		assert.Equal(t, c.node("a", 0).begin(k, time.Second).Kind, KindRun)
+		before = c.log.count()
+		for range 2 * maxClaims {
+			assert.Equal(t, c.node("b", 0).begin(k, time.Second).Kind, KindElsewhere)
+		}
+		assert.Equal(t, c.log.count(), before)
+	})
+}
+
+// Guards against claims that win for callers who have gone: one that was not
+// appended in time never is.
+func TestBatcherDropsClaimsOfGoneCallers(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		c.claims(1, 0)
+		k := c.key()
+		ctx, cancel := context.WithTimeout(c.ctx, appendEvery/2)
+		defer cancel()
+		_, err := c.batchers[0].Claim(ctx, Claim{ID: "gone", Key: k})
+		assert.ErrorIs(t, err, ErrUndecided)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		_, known := c.batchers[0].reader.fold.Lookup(Claim{ID: "gone", Key: k})
+		assert.Assert(t, !known)
+	})
+}
+
+// Guards against a sender left waiting when one claim is asked for twice.
+func TestBatcherAnswersEverySenderOfAClaim(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		k := c.key()
+		c.log.set(func(l *fakeLog) { l.lose, l.late = 2, time.Second })
+		var all sync.WaitGroup
+		for range 2 {
+			all.Go(func() {
+				v, err := c.batchers[0].Claim(c.ctx, Claim{ID: "twice", Key: k})
+				assert.Check(t, err)
+				assert.Check(t, v.Won)
+			})
+			time.Sleep(2 * appendEvery)
+		}
+		all.Wait()
+	})
+}
+
+// Guards the errors that mean that a claim is not in the log.
+func TestBatcherRefuses(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		k := c.key()
+		other := NewBatcher(BatcherConfig{Partition: testPartition + 1}, c.log)
+		_, err := other.Claim(c.ctx, Claim{ID: "1", Key: k})
+		assert.ErrorIs(t, err, ErrWrongPartition)
+		ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+		defer cancel()
+		stopped := NewBatcher(BatcherConfig{Partition: testPartition, Queue: 1}, c.log)
+		_, err = stopped.Claim(ctx, Claim{ID: "1", Key: k})
+		assert.ErrorIs(t, err, ErrUndecided)
+		_, err = stopped.Claim(c.ctx, Claim{ID: "2", Key: k})
+		assert.ErrorIs(t, err, ErrBusy)
+		for _, known := range errorCodes {
+			assert.ErrorIs(t, CodeOf(errors.Wrap(known.err, "over the network")).Err(), known.err)
+		}
+	})
+}
+
+// Guards against a quiet stream that runs empty, which would leave fresh keys
+// uncovered.
+func TestQuietStreamStaysCovered(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		time.Sleep(5 * time.Hour)
+		k := c.key()
+		time.Sleep(time.Second)
+		assert.Equal(t, c.node("b", c.startBatcher()).begin(k, time.Second).Kind, KindRun)
+	})
+}
+
+// Guards against folding two logs into one. Each case restarts the log in a
+// way that shows in one place only.
+func TestReaderNoticesAnotherLog(t *testing.T) {
+	record := func(l *fakeLog, id string, k Key) {
+		data, err := encode(Record{ID: id, Claims: []Claim{{ID: id, Key: k}}})
+		assert.NilError(t, err)
+		l.set(func(l *fakeLog) { l.add(data) })
+	}
+	cases := []struct {
+		name    string
+		restart func(l *fakeLog, k Key)
+		covered bool
+	}{
+		{"same log", func(l *fakeLog, k Key) { record(l, "2", k) }, true},
+		{"last folded record expired", func(l *fakeLog, _ Key) { l.set(func(l *fakeLog) { l.first, l.entries = 1, nil }) }, true},
+		{"records lost in between", func(l *fakeLog, _ Key) { l.set(func(l *fakeLog) { l.first, l.entries = 5, nil }) }, false},
+		{"shorter, without epoch", func(l *fakeLog, _ Key) { l.set(func(l *fakeLog) { l.entries = nil }) }, false},
+		{"same length, without epoch", func(l *fakeLog, k Key) {
+			l.set(func(l *fakeLog) { l.entries = nil })
+			record(l, "other", k)
+		}, false},
+		{"same record, other epoch", func(l *fakeLog, k Key) {
+			l.reset()
+			record(l, "1", k)
+		}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			inCluster(t, func(c *cluster) {
+				l, k := newFakeLog(), c.key()
+				r := newReader(testPartition, l, func(Record, []Verdict) {})
+				record(l, "1", k)
+				assert.NilError(t, r.catchUp(c.ctx))
+				first := r.fold
+				tc.restart(l, k)
+				assert.NilError(t, r.catchUp(c.ctx))
+				assert.Equal(t, r.fold == first, tc.covered)
+			})
+		})
+	}
+}
+
+// flickering contradicts itself at every read.
+type flickering struct{ platformlog.Log }
+
+func (flickering) Read(_ context.Context, _ string, from int64, _ int, _ time.Duration) (platformlog.Batch, error) {
+	return platformlog.Batch{}, &platformlog.RangeError{From: from, First: from + 1, Next: from + 1}
+}
+
+// Guards against a loop without a wait.
+func TestReaderGivesUpOnALogThatContradictsItself(t *testing.T) {
+	r := newReader(0, flickering{}, func(Record, []Verdict) {})
+	assert.ErrorIs(t, r.catchUp(t.Context()), platformlog.ErrUnavailable)
+}
--- /dev/null
+++ b/internal/once/cluster_test.go
@@ -0,0 +1,236 @@
+package once
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+)
+
+// cluster is one partition's log, its batchers and some nodes in a bubble.
+type cluster struct {
+	t        *testing.T
+	ctx      context.Context
+	log      *fakeLog
+	batchers []*Batcher
+	stops    []context.CancelFunc
+	nodes    map[string]*node
+
+	mu   sync.Mutex      // guards the faults and counts below and in nodes
+	runs map[string]int  // starts of the backend server's work by key
+	ran  map[string]bool // claims whose work was started
+	over map[string]bool // claims that were released
+}
+
+// inCluster runs a test in virtual time with one batcher.
+func inCluster(t *testing.T, fn func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &cluster{t: t, ctx: ctx, log: newFakeLog(), nodes: map[string]*node{}, runs: map[string]int{},
+			ran: map[string]bool{}, over: map[string]bool{}}
+		c.startBatcher()
+		time.Sleep(time.Second)
+		fn(c)
+		cancel()
+		time.Sleep(time.Hour)
+		synctest.Wait()
+	})
+}
+
+// key returns a fresh key of the cluster's partition.
+func (c *cluster) key() Key {
+	for {
+		id, err := uuid.NewV7()
+		assert.NilError(c.t, err)
+		k := Key{Text: id.String(), Time: time.Now()}
+		if k.Partition() == testPartition {
+			return k
+		}
+	}
+}
+
+const testPartition = 3
+
+func (c *cluster) startBatcher() int {
+	b := NewBatcher(BatcherConfig{Partition: testPartition}, c.log)
+	ctx, stop := context.WithCancel(c.ctx)
+	go func() { _ = b.Run(ctx) }()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.batchers, c.stops = append(c.batchers, b), append(c.stops, stop)
+	return len(c.batchers) - 1
+}
+
+// node stands for a guard with its coordinator, and the faults around it.
+type node struct {
+	*Coordinator
+	c           *cluster
+	self        Holder
+	ctx         context.Context
+	kill        context.CancelFunc
+	batcher     int
+	loseAnswers int
+	backendDead bool
+	sheds       bool
+	thaw        time.Time
+}
+
+// node starts a node that reaches the given batcher. A node of the same name
+// takes the place of an earlier one.
+func (c *cluster) node(name string, batcher int) *node {
+	n := &node{c: c, batcher: batcher, self: Holder{Node: name, Incarnation: time.Now().UnixNano()}}
+	n.ctx, n.kill = context.WithCancel(c.ctx)
+	n.Coordinator = NewCoordinator(CoordinatorConfig{
+		Self:  n.self,
+		Reach: func(int) (Claimer, error) { return n, nil },
+	})
+	go func() { _ = n.Run(n.ctx) }()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[name] = n
+	return n
+}
+
+// freeze stops the node for a while.
+func (n *node) freeze(d time.Duration) {
+	n.set(func() { n.thaw = time.Now().Add(d) })
+}
+
+// frozen returns how long the node stays stopped.
+func (n *node) frozen() time.Duration {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	return time.Until(n.thaw)
+}
+
+func (n *node) waitThaw() { time.Sleep(n.frozen()) }
+
+// set changes faults of the node.
+func (n *node) set(fn func()) {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	fn()
+}
+
+// use makes the node reach another batcher.
+func (n *node) use(batcher int) { n.set(func() { n.batcher = batcher }) }
+
+func (n *node) reach() *Batcher {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	return n.c.batchers[n.batcher]
+}
+
+// answerLost takes one of the answers that are to be lost.
+func (n *node) answerLost() bool {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	n.loseAnswers--
+	return n.loseAnswers >= 0
+}
+
+// Claim implements Claimer with the faults of the way to the batcher.
+func (n *node) Claim(ctx context.Context, cl Claim) (Verdict, error) {
+	v, err := n.reach().Claim(ctx, cl)
+	n.waitThaw()
+	if n.answerLost() {
+		return Verdict{}, errors.New("connection lost")
+	}
+	return v, err
+}
+
+// Settle implements Claimer.
+func (n *node) Settle(ctx context.Context, s Settlement) error {
+	if s.State == StateReleased {
+		n.set(func() { n.c.over[s.ClaimID] = true })
+	}
+	return n.reach().Settle(ctx, s)
+}
+
+// begin decides a call with a time limit.
+func (n *node) begin(k Key, limit time.Duration) Decision {
+	ctx, cancel := context.WithTimeout(n.ctx, limit)
+	defer cancel()
+	return n.Begin(ctx, k, time.Now())
+}
+
+const (
+	workTime = 300 * time.Millisecond
+	noAnswer = Outcome("none") // the caller's node died
+)
+
+// serve does what a guard does with a keyed call.
+func (n *node) serve(k Key, limit time.Duration, hops int) Outcome {
+	d := n.begin(k, limit)
+	n.waitThaw()
+	if n.ctx.Err() != nil {
+		return noAnswer
+	}
+	switch d.Kind {
+	case KindRun:
+		return n.work(d.Run)
+	case KindJoined:
+		ctx, cancel := context.WithTimeout(n.ctx, limit)
+		defer cancel()
+		return d.Run.Wait(ctx).Outcome
+	case KindElsewhere:
+		if holder := n.c.alive(d.Holder); holder != nil && hops > 0 {
+			return holder.serve(k, limit, hops-1)
+		}
+		d = d.WithoutHolder()
+	}
+	return outcomeOf(d)
+}
+
+// alive returns the node of a holder, or nil when it does not answer.
+func (c *cluster) alive(h Holder) *node {
+	c.mu.Lock()
+	n := c.nodes[h.Node]
+	c.mu.Unlock()
+	if n.self != h || n.ctx.Err() != nil || n.frozen() > 0 {
+		return nil
+	}
+	return n
+}
+
+// work runs a call at the backend server.
+func (n *node) work(r *Run) Outcome {
+	n.c.mu.Lock()
+	sheds, backendDead := n.sheds, n.backendDead
+	n.c.mu.Unlock()
+	if sheds {
+		n.Release(r, ReasonReleased, time.Now())
+		return OutcomeNotRun
+	}
+	n.set(func() {
+		n.c.runs[r.Key.Text]++
+		n.c.ran[r.ClaimID] = true
+	})
+	time.Sleep(workTime)
+	if n.ctx.Err() != nil {
+		return noAnswer
+	}
+	a := Answer{Outcome: OutcomeRan, Status: 200, Whole: true}
+	if backendDead {
+		a = Answer{Outcome: OutcomeUnknown, Reason: ReasonConnectionLost}
+	}
+	n.Finish(r, a, time.Now())
+	return a.Outcome
+}
+
+// callResult is a call on its way.
+type callResult struct{ out chan Outcome }
+
+func (r callResult) wait() Outcome { return <-r.out }
+
+// call sends a keyed call to a node.
+func (c *cluster) call(n *node, k Key, limit time.Duration) callResult {
+	r := callResult{out: make(chan Outcome, 1)}
+	go func() { r.out <- n.serve(k, limit, 4) }()
+	return r
+}
--- a/internal/once/coordinator_test.go
+++ b/internal/once/coordinator_test.go
@@ -1,105 +1,198 @@
 package once
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 )
 
-// cluster is one partition's log, its batchers and some nodes in a bubble.
-type cluster struct {
-	t        *testing.T
-	ctx      context.Context
-	log      *fakeLog
-	batchers []*Batcher
-	stops    []context.CancelFunc
-}
-
-// inCluster runs a test in virtual time with one batcher.
-func inCluster(t *testing.T, fn func(c *cluster)) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		c := &cluster{t: t, ctx: ctx, log: newFakeLog()}
-		c.startBatcher()
-		time.Sleep(time.Second)
-		fn(c)
-		cancel()
-		time.Sleep(time.Hour)
-		synctest.Wait()
-	})
-}
-
-// key returns a fresh key of the cluster's partition.
-func (c *cluster) key() Key {
-	for {
-		id, err := uuid.NewV7()
-		assert.NilError(c.t, err)
-		k := Key{Text: id.String(), Time: time.Now()}
-		if k.Partition() == testPartition {
-			return k
-		}
-	}
-}
-
-const testPartition = 3
-
-func (c *cluster) startBatcher() int {
-	b := NewBatcher(BatcherConfig{Partition: testPartition}, c.log)
-	ctx, stop := context.WithCancel(c.ctx)
-	go func() { _ = b.Run(ctx) }()
-	c.batchers, c.stops = append(c.batchers, b), append(c.stops, stop)
-	return len(c.batchers) - 1
-}
-
-// node starts a node that reaches the given batcher.
-func (c *cluster) node(name string, batcher int) *Coordinator {
-	n := NewCoordinator(CoordinatorConfig{
-		Self:  Holder{Node: name, Incarnation: time.Now().UnixNano()},
-		Reach: func(int) (Claimer, error) { return c.batchers[batcher], nil },
-	})
-	go func() { _ = n.Run(c.ctx) }()
-	return n
-}
-
-// begin decides a call with a time limit.
-func (c *cluster) begin(n *Coordinator, k Key, limit time.Duration) Decision {
-	ctx, cancel := context.WithTimeout(c.ctx, limit)
-	defer cancel()
-	return n.Begin(ctx, k, time.Now())
-}
-
 func TestFirstCallRunsAndRepeatsDoNot(t *testing.T) {
 	inCluster(t, func(c *cluster) {
 		a, b, k := c.node("a", 0), c.node("b", 0), c.key()
-		first := c.begin(a, k, time.Second)
+		first := a.begin(k, time.Second)
 		assert.Equal(t, first.Kind, KindRun)
-		assert.Equal(t, c.begin(a, k, time.Second).Kind, KindJoined)
-		d := c.begin(b, k, time.Second)
+		assert.Equal(t, a.begin(k, time.Second).Kind, KindJoined)
+		d := b.begin(k, time.Second)
 		assert.Equal(t, d.Kind, KindElsewhere)
 		assert.Equal(t, d.Holder.Node, "a")
 		a.Finish(first.Run, Answer{Outcome: OutcomeRan, Status: 201, Body: []byte("x"), Whole: true}, time.Now())
 		time.Sleep(time.Second)
-		assert.Equal(t, string(c.begin(a, k, time.Second).Run.Wait(c.ctx).Body), "x")
-		d = c.begin(b, k, time.Second).WithoutHolder()
+		assert.Equal(t, string(a.begin(k, time.Second).Run.Wait(c.ctx).Body), "x")
+		d = b.begin(k, time.Second).WithoutHolder()
 		assert.Equal(t, d.Kind, KindRan)
 		assert.Equal(t, d.Status, 201)
 	})
 }
 
-// Guards against a second run of a key whose claim went away with the log.
-func TestRestartedLogDoesNotOpenOldKeys(t *testing.T) {
-	inCluster(t, func(c *cluster) {
-		a, b, k := c.node("a", 0), c.node("b", 0), c.key()
-		assert.Equal(t, c.begin(a, k, time.Second).Kind, KindRun)
-		c.log.reset()
-		time.Sleep(time.Second)
-		d := c.begin(b, k, time.Second)
-		assert.Equal(t, d.Kind, KindUnknown)
-		time.Sleep(time.Second)
-		assert.Equal(t, c.begin(b, c.key(), time.Second).Kind, KindRun)
-	})
+// Each case is one fault around calls with one key. Whatever happens, the key
+// runs as often as wanted and never twice.
+func TestFaultsAroundOneKey(t *testing.T) {
+	cases := []struct {
+		name string
+		runs int
+		play func(c *cluster, k Key)
+	}{
+		{"resent through the same node in flight", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			first, second := c.call(a, k, time.Second), c.call(a, k, time.Second)
+			assert.Equal(c.t, first.wait(), OutcomeRan)
+			assert.Equal(c.t, second.wait(), OutcomeRan)
+		}},
+		{"resent through another node in flight", 1, func(c *cluster, k Key) {
+			first := c.call(c.node("a", 0), k, time.Second)
+			time.Sleep(60 * time.Millisecond)
+			second := c.call(c.node("b", 0), k, time.Second)
+			assert.Equal(c.t, first.wait(), OutcomeRan)
+			assert.Equal(c.t, second.wait(), OutcomeRan)
+		}},
+		{"holder dies in flight", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			c.call(a, k, time.Second)
+			time.Sleep(60 * time.Millisecond)
+			a.kill()
+			assert.Equal(c.t, c.call(c.node("b", 0), k, time.Second).wait(), OutcomeUnknown)
+		}},
+		{"holder restarts in flight", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			c.call(a, k, time.Second)
+			time.Sleep(60 * time.Millisecond)
+			a.kill()
+			assert.Equal(c.t, c.node("a", 0).begin(k, time.Second).Kind, KindUnknown)
+		}},
+		{"holder dies after its outcome is in the log", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			assert.Equal(c.t, c.call(a, k, time.Second).wait(), OutcomeRan)
+			time.Sleep(time.Second)
+			a.kill()
+			assert.Equal(c.t, c.call(c.node("b", 0), k, time.Second).wait(), OutcomeRan)
+		}},
+		{"backend server dies in flight", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			a.backendDead = true
+			assert.Equal(c.t, c.call(a, k, time.Second).wait(), OutcomeUnknown)
+			assert.Equal(c.t, c.call(a, k, time.Second).wait(), OutcomeUnknown)
+			assert.Equal(c.t, c.call(c.node("b", 0), k, time.Second).wait(), OutcomeUnknown)
+		}},
+		{"holder no longer keeps an unknown outcome", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			a.backendDead = true
+			assert.Equal(c.t, c.call(a, k, time.Second).wait(), OutcomeUnknown)
+			time.Sleep(KeepFor + time.Second)
+			a.Tick(time.Now())
+			assert.Equal(c.t, c.call(a, k, time.Second).wait(), OutcomeUnknown)
+		}},
+		{"claim given up, then its holder dies", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			c.log.set(func(l *fakeLog) { l.slow = 2 * time.Second })
+			assert.Equal(c.t, c.call(a, k, time.Second).wait(), OutcomeNotRun)
+			time.Sleep(10 * time.Second)
+			a.kill()
+			assert.Equal(c.t, c.call(c.node("b", 0), k, 10*time.Second).wait(), OutcomeRan)
+		}},
+		{"call shed after its claim", 1, func(c *cluster, k Key) {
+			a, b := c.node("a", 0), c.node("b", 0)
+			a.sheds = true
+			assert.Equal(c.t, c.call(a, k, time.Second).wait(), OutcomeNotRun)
+			time.Sleep(200 * time.Millisecond)
+			assert.Equal(c.t, c.call(b, k, time.Second).wait(), OutcomeRan)
+		}},
+		{"log down", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			c.log.set(func(l *fakeLog) { l.down = true })
+			assert.Equal(c.t, c.call(a, k, time.Second).wait(), OutcomeNotRun)
+			c.log.set(func(l *fakeLog) { l.down = false })
+			assert.Equal(c.t, c.call(c.node("b", 0), k, time.Second).wait(), OutcomeRan)
+		}},
+		{"log slower than the call's time, resent through the same node", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			c.log.set(func(l *fakeLog) { l.slow = 2 * time.Second })
+			assert.Equal(c.t, c.call(a, k, 500*time.Millisecond).wait(), OutcomeNotRun)
+			c.log.set(func(l *fakeLog) { l.slow = 0 })
+			assert.Equal(c.t, c.call(a, k, 10*time.Second).wait(), OutcomeRan)
+		}},
+		{"answer of the log lost", 1, func(c *cluster, k Key) {
+			c.log.set(func(l *fakeLog) { l.lose = 1 })
+			assert.Equal(c.t, c.call(c.node("a", 0), k, time.Second).wait(), OutcomeRan)
+		}},
+		{"claim reaches the log after it was given up", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			c.log.set(func(l *fakeLog) { l.lose, l.late = 1, 3*time.Second })
+			assert.Equal(c.t, c.call(a, k, time.Second).wait(), OutcomeNotRun)
+			time.Sleep(10 * time.Second)
+			assert.Equal(c.t, c.call(c.node("b", 0), k, time.Second).wait(), OutcomeRan)
+		}},
+		{"release reaches the log before its claim", 1, func(c *cluster, k Key) {
+			c.startBatcher()
+			a := c.node("a", 0)
+			c.log.set(func(l *fakeLog) { l.lose, l.late = 1, 8*time.Second })
+			assert.Equal(c.t, c.call(a, k, time.Second).wait(), OutcomeNotRun)
+			time.Sleep(4 * time.Second)
+			assert.Equal(c.t, c.call(c.node("b", 1), k, time.Second).wait(), OutcomeRan)
+			time.Sleep(10 * time.Second)
+			assert.Equal(c.t, c.call(c.node("d", 1), k, time.Second).wait(), OutcomeRan)
+		}},
+		{"answer of the batcher lost", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			a.loseAnswers = 2
+			assert.Equal(c.t, c.call(a, k, time.Second).wait(), OutcomeRan)
+		}},
+		{"holder frozen after it won, wakes later", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			a.freeze(time.Minute)
+			first := c.call(a, k, time.Second)
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(c.t, c.call(c.node("b", 0), k, time.Second).wait(), OutcomeUnknown)
+			assert.Equal(c.t, first.wait(), OutcomeNotRun)
+			assert.Equal(c.t, c.call(c.node("d", 0), k, time.Second).wait(), OutcomeRan)
+		}},
+		{"two batchers at once", 1, func(c *cluster, k Key) {
+			c.startBatcher()
+			first, second := c.call(c.node("a", 0), k, time.Second), c.call(c.node("b", 1), k, time.Second)
+			assert.Equal(c.t, first.wait(), OutcomeRan)
+			assert.Equal(c.t, second.wait(), OutcomeRan)
+		}},
+		{"batcher killed between append and answer", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			c.log.set(func(l *fakeLog) { l.slow = 100 * time.Millisecond })
+			first := c.call(a, k, 2*time.Second)
+			time.Sleep(150 * time.Millisecond)
+			c.stops[0]()
+			a.use(c.startBatcher())
+			assert.Equal(c.t, first.wait(), OutcomeRan)
+		}},
+		{"log and holder restarted in flight", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			c.call(a, k, time.Second)
+			time.Sleep(60 * time.Millisecond)
+			a.kill()
+			c.log.reset()
+			c.startBatcher()
+			time.Sleep(2 * time.Second)
+			assert.Equal(c.t, c.call(c.node("b", 1), k, time.Second).wait(), OutcomeUnknown)
+			assert.Equal(c.t, c.call(c.node("d", 0), c.key(), time.Second).wait(), OutcomeRan)
+		}},
+		{"log restarted in flight", 1, func(c *cluster, k Key) {
+			a := c.node("a", 0)
+			c.call(a, k, time.Second)
+			time.Sleep(60 * time.Millisecond)
+			c.log.reset()
+			assert.Equal(c.t, c.call(c.node("b", 0), k, time.Second).wait(), OutcomeUnknown)
+			time.Sleep(2 * time.Second) // the holder's outcome reaches the new log
+			c.startBatcher()
+			assert.Equal(c.t, c.call(c.node("b", 1), k, time.Second).wait(), OutcomeRan)
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			inCluster(t, func(c *cluster) {
+				k := c.key()
+				tc.play(c, k)
+				time.Sleep(2 * time.Minute)
+				synctest.Wait()
+				assert.Equal(t, c.runs[k.Text], tc.runs)
+			})
+		})
+	}
 }
--- a/internal/once/fake_test.go
+++ b/internal/once/fake_test.go
@@ -35,6 +35,13 @@
 	fn(l)
 }
 
+// count returns the appends so far.
+func (l *fakeLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
 func (l *fakeLog) reset() {
 	l.set(func(l *fakeLog) { l.epoch, l.first, l.entries = l.epoch+1, 0, nil })
 }
