Keep slots for short work by its demand and square root

Cause: twice the demand of short calls and one more left long calls less than their own demand, 5 times worse; newest first in a standing queue also spread the waits of long calls whose deadlines were far. Change: short calls get their demand, and its square root more as far as the demand of long calls leaves room. Newest goes first only while the standing queue costs deadlines: the next call has less time left than it has waited.

--- a/internal/admission/classes.go
+++ b/internal/admission/classes.go
@@ -84,13 +84,13 @@
 }
 
 // demand is the load of one backend server, measured without contention:
-// arrivals of short calls and the times that completed calls took.
+// arrivals and the times that completed calls took.
 type demand struct {
 	typicalLog float64 // moving mean of the logarithm of service times in s
 	completed  int
-	mean       time.Duration // of all calls
-	shortMean  time.Duration
-	arrivals   float64 // short arrivals, decaying over demandWindow
+	mean       time.Duration    // of all calls
+	means      [2]time.Duration // by class
+	arrivals   [2]float64       // by class, decaying over demandWindow
 	updated    time.Time
 }
 
@@ -106,15 +106,17 @@
 	return Short
 }
 
-// arrive counts the arrival of a short call, admitted or not.
-func (d *demand) arrive(now time.Time) {
+// arrive counts the arrival of a call, admitted or not.
+func (d *demand) arrive(c Class, now time.Time) {
 	d.decay(now)
-	d.arrivals++
+	d.arrivals[c]++
 }
 
 func (d *demand) decay(now time.Time) {
 	if age := now.Sub(d.updated); age > 0 {
-		d.arrivals *= math.Exp(-float64(age) / float64(demandWindow))
+		factor := math.Exp(-float64(age) / float64(demandWindow))
+		d.arrivals[Short] *= factor
+		d.arrivals[Long] *= factor
 		d.updated = now
 	}
 }
@@ -125,9 +127,7 @@
 	weight := max(1/float64(d.completed), typicalWeight)
 	d.typicalLog += weight * (math.Log(served.Seconds()) - d.typicalLog)
 	d.mean = movingMean(d.mean, served)
-	if c == Short {
-		d.shortMean = movingMean(d.shortMean, served)
-	}
+	d.means[c] = movingMean(d.means[c], served)
 }
 
 func movingMean(mean, sample time.Duration) time.Duration {
@@ -137,12 +137,11 @@
 	return mean + time.Duration(sampleWeight*float64(sample-mean))
 }
 
-// shortSlots returns the slots that short work occupies by rate times mean
-// time.
-func (d *demand) shortSlots(now time.Time) float64 {
+// slots returns the slots that a class occupies by rate times mean time.
+func (d *demand) slots(c Class, now time.Time) float64 {
 	d.decay(now)
-	rate := d.arrivals / demandWindow.Seconds()
-	return rate * d.shortMean.Seconds()
+	rate := d.arrivals[c] / demandWindow.Seconds()
+	return rate * d.means[c].Seconds()
 }
 
 func (d *demand) meanTime() time.Duration { return d.mean }
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -76,9 +76,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.newTicketLocked(now, r, times)
-	if t.class == Short {
-		g.demand.arrive(now)
-	}
+	g.demand.arrive(t.class, now)
 	if d, refused := g.refuseLocked(now, t); refused {
 		return nil, d
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -39,13 +39,17 @@
 	q.lines[t.priority][t.class].remove(t)
 }
 
-// next returns the ticket of a line that is served next, or nil.
+// next returns the ticket of a line that is served next, or nil. In a standing
+// queue that costs calls their deadlines, the newest goes first: serving the
+// oldest would bring every call to the edge of its deadline. While deadlines
+// are far, order keeps the waits of long calls even.
 func (q *queue) next(p Priority, c Class, now time.Time) *Ticket {
 	l := &q.lines[p][c]
-	if q.standing(now) {
+	first := l.first()
+	if first != nil && q.standing(now) && first.late(now) {
 		return l.newest
 	}
-	return l.first()
+	return first
 }
 
 // oldest returns the ticket of a priority that came first, or nil.
--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -96,15 +96,19 @@
 	return max(1, int(share*float64(g.cfg.Slots)))
 }
 
-// keptLocked returns the slots kept for short work: twice its measured demand
-// and one more, at most what the share of long work leaves.
+// keptLocked returns the slots kept for short work, at most what the share of
+// long work leaves. Short work gets its measured demand, and its square root
+// more against bursts as far as the demand of long work leaves room. Keeping
+// more makes long calls wait several times longer and gains short ones little.
 func (g *Gate) keptLocked(now time.Time, limit int) int {
-	need := g.demand.shortSlots(now)
-	if need == 0 {
+	short, long := g.demand.slots(Short, now), g.demand.slots(Long, now)
+	if short == 0 {
 		return 0
 	}
+	least := int(math.Ceil(short))
+	room := limit - int(math.Ceil(long))
+	kept := min(int(math.Ceil(short+math.Sqrt(short))), max(least, room))
 	most := int(float64(limit) * (1 - g.cfg.LongShare))
-	kept := int(math.Ceil(2*need)) + 1
 	return max(0, min(kept, most, limit-1))
 }
 
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -101,6 +101,11 @@
 	newer *Ticket     // guarded by gate.mu
 }
 
+// late reports whether a waiting call has less time left than it has waited.
+func (t *Ticket) late(now time.Time) bool {
+	return now.Sub(t.arrived) > t.latest.Sub(now)
+}
+
 // Ready returns a channel that delivers the ticket's one decision. A ticket
 // that was admitted by Enter finds it there too.
 func (t *Ticket) Ready() <-chan Decision { return t.ready }
