--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -55,8 +54,7 @@
 	}
 	log := platformlog.NewClient(s.Log.Address, nil)
 	n.agent = distribution.NewAgent(log, n.self(), n.table, n.holder, logger)
-	n.front = proxy.NewFront(n.holder, newTransport(0), pickRandom)
-	n.guard = proxy.NewGuard(s.BackendServer.Address, newTransport(s.BackendServer.Connections))
+	n.newCalls()
 	n.registerDumps()
 	return n, nil
 }
@@ -85,19 +83,6 @@
 	}
 }
 
-const idleTimeout = 30 * time.Second
-
-func newTransport(maxConns int) *http.Transport {
-	return &http.Transport{
-		MaxConnsPerHost: maxConns, MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-	}
-}
-
-func pickRandom(s *snapshot.Service) *snapshot.Endpoint {
-	return s.Endpoints[rand.IntN(len(s.Endpoints))]
-}
-
 func (n *Node) self() membership.Member {
 	return membership.Member{
 		ID: n.settings.Node.ID, Incarnation: time.Now().UnixNano(),
@@ -134,9 +119,7 @@
 const shutdownLimit = 5 * time.Second
 
 func (n *Node) serve(g *run.Group, name string, ln net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, Protocols: &http.Protocols{}}
-	srv.Protocols.SetHTTP1(true)
-	srv.Protocols.SetUnencryptedHTTP2(true)
+	srv := proxy.NewServer(h)
 	g.Add(func() error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrapf(err, "serve %s", name)
--- /dev/null
+++ b/internal/proxy/body.go
@@ -0,0 +1,212 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// keepBytes is the largest body that is kept, so that it can be sent
+	// again and be part of a fingerprint.
+	keepBytes = 64 << 10
+	// readBytes is the most that is read from a caller at once.
+	readBytes = 16 << 10
+)
+
+// Errors of reading a call's body.
+var (
+	errBodyTooLarge = errors.New("body exceeds the limit")
+	errBodyGone     = errors.New("body was not kept and is being sent elsewhere")
+	errBodyClosed   = errors.New("body reader is closed")
+	errBodySlow     = errors.New("body was not sent within the time limit")
+)
+
+// keptBody is the body of one call. It is read from the caller once, on
+// demand, and its beginning is kept up to keepBytes. While it fits, several
+// readers may read it from its start.
+//
+// Reads from the caller run on a goroutine of their own, since net/http's
+// Transport does not return from a cancelled call while it waits for a body.
+type keptBody struct {
+	in *http.Request
+
+	mu      sync.Mutex
+	kept    []byte        // guarded by mu
+	piece   []byte        // guarded by mu; read and not kept, for the owner
+	total   int64         // guarded by mu; bytes read from the caller
+	end     error         // guarded by mu; set once the caller's body has ended, io.EOF included
+	owner   *bodyReader   // guarded by mu; the only reader once the body has outgrown kept
+	reading bool          // guarded by mu
+	changed chan struct{} // guarded by mu; closed and replaced when a read from the caller ends
+}
+
+// newKeptBody returns the body of in, or nil when it has none.
+func newKeptBody(in *http.Request) *keptBody {
+	if in.Body == nil || in.Body == http.NoBody || in.ContentLength == 0 {
+		return nil
+	}
+	return &keptBody{in: in, changed: make(chan struct{})}
+}
+
+// small reports whether the body can be taken whole before the call is sent.
+// A caller that expects 100 wants to be asked for the body first.
+func (b *keptBody) small() bool {
+	return b != nil && b.in.ContentLength > 0 && b.in.ContentLength <= keepBytes && b.in.Header.Get("Expect") == ""
+}
+
+// take reads a small body whole. It runs before any reader exists.
+func (b *keptBody) take(rc *http.ResponseController, deadline time.Time) error {
+	_ = rc.SetReadDeadline(deadline)
+	kept := make([]byte, b.in.ContentLength)
+	n, err := io.ReadFull(b.in.Body, kept)
+	if err != nil && !time.Now().Before(deadline) {
+		err = errBodySlow
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.kept, b.end, b.total = kept[:n], io.EOF, int64(n)
+	if err != nil {
+		b.end = err
+	}
+	return err
+}
+
+// failure returns the error with which the caller's body broke off, or nil.
+func (b *keptBody) failure() error {
+	if b == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.end == io.EOF {
+		return nil
+	}
+	return b.end
+}
+
+// readOnLocked starts a read from the caller unless one is under way.
+func (b *keptBody) readOnLocked() {
+	if b.reading {
+		return
+	}
+	b.reading = true
+	go b.readPiece()
+}
+
+func (b *keptBody) readPiece() {
+	piece := make([]byte, readBytes)
+	n, err := b.in.Body.Read(piece)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.total += int64(n)
+	if b.total > maxBodyBytes {
+		n, err = 0, errBodyTooLarge
+	}
+	b.end = err
+	if b.owner == nil && len(b.kept)+n <= keepBytes {
+		b.kept = append(b.kept, piece[:n]...)
+	} else {
+		b.piece = piece[:n]
+	}
+	b.reading = false
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// reader returns a reader from the body's start. Trailers of the caller are
+// added to trailer when the body ends.
+func (b *keptBody) reader(trailer http.Header) *bodyReader {
+	return &bodyReader{body: b, trailer: trailer, done: make(chan struct{})}
+}
+
+// bodyReader reads a keptBody for one sending of the call. It cannot be
+// rewound, so that net/http's Transport never sends a call twice by itself.
+type bodyReader struct {
+	body    *keptBody
+	pos     int // in kept
+	trailer http.Header
+	once    sync.Once
+	done    chan struct{} // closed by Close
+}
+
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	for {
+		n, changed, err := r.tryRead(p)
+		if n > 0 || err != nil {
+			return n, err
+		}
+		if err := r.wait(changed); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (r *bodyReader) wait(changed <-chan struct{}) error {
+	timer := time.NewTimer(progressTimeout)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return nil
+	case <-timer.C:
+		return errProgress
+	case <-r.done:
+		return errBodyClosed
+	}
+}
+
+// tryRead reads what is there. When there is nothing it starts a read from
+// the caller and returns the channel that tells of its end.
+func (r *bodyReader) tryRead(p []byte) (int, <-chan struct{}, error) {
+	b := r.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.owner != nil && b.owner != r {
+		return 0, nil, errBodyGone
+	}
+	if b.owner == nil && r.pos < len(b.kept) {
+		n := copy(p, b.kept[r.pos:])
+		r.pos += n
+		return n, nil, nil
+	}
+	if len(b.piece) > 0 {
+		b.owner = r
+		n := copy(p, b.piece)
+		b.piece = b.piece[n:]
+		return n, nil, nil
+	}
+	if b.end != nil {
+		r.copyTrailerLocked()
+		return 0, nil, b.end
+	}
+	b.readOnLocked()
+	return 0, b.changed, nil
+}
+
+func (r *bodyReader) copyTrailerLocked() {
+	if r.body.end != io.EOF {
+		return
+	}
+	for name, values := range r.body.in.Trailer {
+		r.trailer[name] = values
+	}
+}
+
+// Close implements io.Closer. It leaves the caller's body open for other
+// sendings.
+func (r *bodyReader) Close() error {
+	r.once.Do(func() { close(r.done) })
+	return nil
+}
+
+// emptyBody stands for no body where net/http's Transport would send a call
+// without one twice by itself.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
--- /dev/null
+++ b/internal/proxy/conn.go
@@ -0,0 +1,182 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/shard"
+)
+
+// Times of connections.
+const (
+	connectTimeout  = time.Second
+	idleConnTimeout = 30 * time.Second
+	keepAliveEvery  = time.Second // an idle connection whose other end is gone closes after about 4 s
+	keepAliveCount  = 3
+)
+
+// maxIdlePerAddress bounds the idle connections to one address.
+const maxIdlePerAddress = 64
+
+// Errors of connections.
+var (
+	errSealed      = errors.New("connection is not to be written to")
+	errUnsolicited = errors.New("answer arrived before its request was sent")
+)
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// LinkConfig configures a Link.
+type LinkConfig struct {
+	Dial     Dial // nil dials TCP
+	MaxConns int  // connections at once in all, idle ones included; 0 sets no bound
+}
+
+// Link sends calls to other processes. It keeps idle connections and can open
+// a new one on demand.
+type Link struct {
+	dial       Dial
+	slots      chan struct{} // one token per open connection; nil without a bound
+	pooled     *http.Transport
+	fresh      *http.Transport
+	distrusted *shard.Map[time.Time] // by address: older idle connections are not used
+}
+
+// NewLink returns a Link.
+func NewLink(cfg LinkConfig) *Link {
+	l := &Link{dial: cfg.Dial, distrusted: shard.NewMap[time.Time](shard.DefaultCount)}
+	if l.dial == nil {
+		l.dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveCount,
+		}}).DialContext
+	}
+	if cfg.MaxConns > 0 {
+		l.slots = make(chan struct{}, cfg.MaxConns)
+	}
+	l.pooled = l.transport(false)
+	l.pooled.MaxConnsPerHost = cfg.MaxConns
+	l.fresh = l.transport(true)
+	return l
+}
+
+func (l *Link) transport(fresh bool) *http.Transport {
+	return &http.Transport{
+		DialContext: l.open, DisableKeepAlives: fresh, DisableCompression: true,
+		MaxIdleConnsPerHost: maxIdlePerAddress, IdleConnTimeout: idleConnTimeout,
+		ExpectContinueTimeout: time.Second, MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// Close closes the idle connections.
+func (l *Link) Close() { l.pooled.CloseIdleConnections() }
+
+// Distrust keeps connections to an address that are open now from being used
+// for another call. Calls that run on them are not disturbed.
+func (l *Link) Distrust(address string, now time.Time) { l.distrusted.Set(address, now) }
+
+func (l *Link) trusts(c *trackedConn) bool {
+	since, ok := l.distrusted.Get(c.address)
+	return !ok || c.opened.After(since)
+}
+
+func (l *Link) open(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	if err := l.take(ctx); err != nil {
+		return nil, err
+	}
+	conn, err := l.dial(ctx, network, address)
+	if err != nil {
+		l.release()
+		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), errConnect)
+	}
+	return &trackedConn{Conn: conn, address: address, opened: time.Now(), release: l.release}, nil
+}
+
+func (l *Link) take(ctx context.Context) error {
+	if l.slots == nil {
+		return nil
+	}
+	select {
+	case l.slots <- struct{}{}:
+		return nil
+	default:
+	}
+	// Idle connections hold places that a new connection may need.
+	l.pooled.CloseIdleConnections()
+	select {
+	case l.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for a free connection")
+	}
+}
+
+func (l *Link) release() {
+	if l.slots != nil {
+		<-l.slots
+	}
+}
+
+// trackedConn knows whether a byte of a call may have left through it.
+type trackedConn struct {
+	net.Conn
+	address string
+	opened  time.Time
+	release func()
+	once    sync.Once
+	written atomic.Int64 // bytes given to Write, counted before they are written
+	base    atomic.Int64 // written when the present exchange began
+	reused  atomic.Bool  // an exchange before the present one has used the connection
+	sealed  atomic.Bool
+}
+
+// begin starts an exchange on the connection.
+func (c *trackedConn) begin(reused bool) {
+	c.base.Store(c.written.Load())
+	c.reused.Store(reused)
+}
+
+// seal makes later writes fail and reports whether bytes of the present
+// exchange may have been written. Write counts before it looks at sealed, so
+// no byte can leave after seal has reported false.
+func (c *trackedConn) seal() bool {
+	c.sealed.Store(true)
+	return c.written.Load() != c.base.Load()
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	if c.sealed.Load() {
+		return 0, errSealed
+	}
+	c.written.Add(int64(len(p)))
+	if c.sealed.Load() {
+		return 0, errSealed
+	}
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn. Bytes that arrive on a reused connection before
+// its next request is sent are a late answer to an earlier call; the
+// connection fails instead of handing them to the next caller.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.reused.Load() && c.written.Load() == c.base.Load() {
+		return 0, errUnsolicited
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.once.Do(c.release)
+	return c.Conn.Close()
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
@@ -12,14 +13,14 @@
 // Front takes calls from callers and sends them to the node beside a backend
 // server of their service.
 type Front struct {
-	holder    *snapshot.Holder
-	transport http.RoundTripper
-	pick      func(*snapshot.Service) *snapshot.Endpoint
+	holder *snapshot.Holder
+	link   *Link
+	pick   func(*snapshot.Service) *snapshot.Endpoint
 }
 
 // NewFront returns a Front that routes by the generations of a holder.
-func NewFront(h *snapshot.Holder, rt http.RoundTripper, pick func(*snapshot.Service) *snapshot.Endpoint) *Front {
-	return &Front{holder: h, transport: rt, pick: pick}
+func NewFront(h *snapshot.Holder, l *Link, pick func(*snapshot.Service) *snapshot.Endpoint) *Front {
+	return &Front{holder: h, link: l, pick: pick}
 }
 
 // ServeHTTP implements http.Handler.
@@ -31,34 +32,49 @@
 	}
 	hops, _ := strconv.Atoi(r.Header.Get(HeaderHops))
 	if hops >= maxHops {
-		Failure{Status: http.StatusLoopDetected, Outcome: OutcomeNotRun, Reason: ReasonTooManyHop, Message: "the chain of calls is too deep"}.write(w)
+		notRun(http.StatusLoopDetected, ReasonTooManyHop, "the chain of calls is too deep").write(w)
 		return
 	}
-	endpoint := f.pick(route.Service)
-	resp, err := send(r.Context(), f.transport, endpoint.GuardAddress, r, func(h http.Header) {
-		h.Set(HeaderHops, strconv.Itoa(hops+1))
-		h.Set(HeaderRoute, route.ID)
-		if key := h.Get(HeaderKeyCaller); key != "" {
-			h.Del(HeaderKeyCaller)
-			h.Set(HeaderKey, key)
+	header := requestHeader(r)
+	header.Set(HeaderHops, strconv.Itoa(hops+1))
+	header.Set(HeaderRoute, route.ID)
+	header.Del(HeaderKey)
+	if key := header.Get(HeaderKeyCaller); key != "" {
+		header.Del(HeaderKeyCaller)
+		header.Set(HeaderKey, key)
+	}
+	early := &earlyHints{w: w}
+	body := newKeptBody(r)
+	if body.small() {
+		if err := body.take(http.NewResponseController(w), time.Now().Add(time.Duration(route.Service.Policy.Timeout))); err != nil {
+			failureOf(&sendError{cause: err}, body).write(w)
+			return
 		}
+	}
+	answer, err := f.link.send(r.Context(), sending{
+		address: f.pick(route.Service).GuardAddress, in: r, header: header, body: body,
+		wait: time.Duration(route.Service.Policy.Timeout), early: early.pass,
 	})
+	early.stop()
 	if err != nil {
-		failureOf(err).write(w)
+		failureOf(err, body).write(w)
 		return
 	}
-	relay(w, resp)
+	defer answer.Close()
+	if err := relay(w, r, answer); err != nil {
+		abort(w, r)
+	}
 }
 
 func (f *Front) route(r *http.Request) (*snapshot.Route, *Failure) {
 	m := f.holder.Lookup(hostOf(r), r.Method, r.URL.Path)
 	switch {
 	case m.Generation == 0:
-		return nil, &Failure{Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun, Reason: ReasonNotReady, Message: "the node has no configuration yet"}
+		return nil, notRun(http.StatusServiceUnavailable, ReasonNotReady, "the node has no configuration yet")
 	case m.Route == nil:
-		return nil, &Failure{Status: http.StatusNotFound, Outcome: OutcomeNotRun, Reason: ReasonNoRoute, Message: "no route matches"}
+		return nil, notRun(http.StatusNotFound, ReasonNoRoute, "no route matches")
 	case m.HeldBack:
-		return nil, &Failure{Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun, Reason: ReasonNoBackend, Message: "the service has no backend server"}
+		return nil, notRun(http.StatusServiceUnavailable, ReasonNoBackend, "the service has no backend server")
 	}
 	return m.Route, nil
 }
--- a/internal/proxy/guard.go
+++ b/internal/proxy/guard.go
@@ -3,41 +3,59 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // Guard stands before the backend server of its node and is the one place
 // that can say that a call was not run.
 type Guard struct {
-	address   string
-	transport http.RoundTripper
-	draining  atomic.Bool
+	address  string
+	link     *Link
+	draining atomic.Bool
 }
 
 // NewGuard returns a Guard for the backend server at an address.
-func NewGuard(address string, rt http.RoundTripper) *Guard {
-	return &Guard{address: address, transport: rt}
+func NewGuard(address string, l *Link) *Guard {
+	return &Guard{address: address, link: l}
 }
 
 // Drain refuses new calls from now on.
 func (g *Guard) Drain() { g.draining.Store(true) }
 
+const defaultWait = time.Minute
+
 // ServeHTTP implements http.Handler.
 func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if g.draining.Load() {
-		Failure{Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun, Reason: ReasonDraining, Message: "the backend server is leaving"}.write(w)
+		notRun(http.StatusServiceUnavailable, ReasonDraining, "the backend server is leaving").write(w)
 		return
 	}
-	resp, err := send(r.Context(), g.transport, g.address, r, func(h http.Header) {
-		if key := h.Get(HeaderKey); key != "" {
-			h.Del(HeaderKey)
-			h.Set(HeaderKeyCaller, key)
+	header := requestHeader(r)
+	if key := header.Get(HeaderKey); key != "" {
+		header.Del(HeaderKey)
+		header.Set(HeaderKeyCaller, key)
+	}
+	header.Del(HeaderRoute)
+	hideRepeatKeys(header)
+	early := &earlyHints{w: w}
+	body := newKeptBody(r)
+	if body.small() {
+		if err := body.take(http.NewResponseController(w), time.Now().Add(defaultWait)); err != nil {
+			failureOf(&sendError{cause: err}, body).write(w)
+			return
 		}
-		h.Del(HeaderRoute)
+	}
+	answer, err := g.link.send(r.Context(), sending{
+		address: g.address, in: r, header: header, body: body, wait: defaultWait, early: early.pass,
 	})
+	early.stop()
 	if err != nil {
-		failureOf(err).write(w)
+		failureOf(err, body).write(w)
 		return
 	}
-	resp.Header.Set(HeaderOutcome, string(OutcomeRan))
-	relay(w, resp)
+	defer answer.Close()
+	answer.Header.Set(HeaderOutcome, string(OutcomeRan))
+	if err := relay(w, r, answer); err != nil {
+		abort(w, r)
+	}
 }
--- /dev/null
+++ b/internal/proxy/harness_test.go
@@ -0,0 +1,146 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/jsonc"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
+)
+
+const testHost = "shop.example"
+
+// serveCalls serves a handler as a node does and returns its address.
+func serveCalls(t testing.TB, h http.Handler) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := NewServer(h)
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return ln.Addr().String()
+}
+
+// holderOf returns a holder with one route to a service behind the guards.
+func holderOf(guards []string, edit func(*snapshot.Route)) *snapshot.Holder {
+	svc := &snapshot.Service{Name: "shop", Policy: profile.Policy{Timeout: jsonc.Duration(2 * time.Second), Retries: 1, RetryBudget: 1, Queue: 64}}
+	for i, address := range guards {
+		svc.Endpoints = append(svc.Endpoints, &snapshot.Endpoint{ID: string(rune('a' + i)), Incarnation: 1, GuardAddress: address})
+	}
+	route := &snapshot.Route{ID: "shop/all", Service: svc, Route: profile.Route{Host: testHost, PathPrefix: "/"}}
+	if edit != nil {
+		edit(route)
+	}
+	h := snapshot.NewHolder()
+	h.Install(&snapshot.Generation{Number: 1, Services: map[string]*snapshot.Service{svc.Name: svc}, Routes: []*snapshot.Route{route}})
+	return h
+}
+
+// backendOf serves a backend server that is an ordinary handler.
+func backendOf(t testing.TB, h http.HandlerFunc) string {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+// scripted serves a backend server that reads one request's header on each
+// connection and then hands the connection to the script.
+func scripted(t testing.TB, script func(c net.Conn, r *bufio.Reader, req *http.Request)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				if req, err := http.ReadRequest(r); err == nil {
+					script(c, r, req)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// clientOf returns a client of one protocol.
+func clientOf(t testing.TB, h2 bool) *http.Client {
+	tr := &http.Transport{DisableCompression: true, Protocols: &http.Protocols{}, ExpectContinueTimeout: 5 * time.Second}
+	tr.Protocols.SetHTTP1(!h2)
+	tr.Protocols.SetUnencryptedHTTP2(h2)
+	t.Cleanup(tr.CloseIdleConnections)
+	return &http.Client{Transport: tr, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
+// newCall returns a call of the test's service.
+func newCall(t testing.TB, method, address, target string, body io.Reader) *http.Request {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+target, body)
+	assert.NilError(t, err)
+	req.Host = testHost
+	return req
+}
+
+// do sends a call and reads the whole answer.
+func do(t testing.TB, c *http.Client, req *http.Request) (*http.Response, string, error) {
+	t.Helper()
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+// overBoth runs a test over HTTP/1.1 and HTTP/2.
+func overBoth(t *testing.T, run func(t *testing.T, c *http.Client)) {
+	t.Run("http1", func(t *testing.T) { run(t, clientOf(t, false)) })
+	t.Run("http2", func(t *testing.T) { run(t, clientOf(t, true)) })
+}
+
+// exchangeRaw sends bytes to an address and returns what comes back until the
+// connection ends.
+func exchangeRaw(t *testing.T, address, text string) (string, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, text)
+	assert.NilError(t, err)
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	data, err := io.ReadAll(c)
+	return string(data), err
+}
+
+func rawCall(lines ...string) string {
+	return strings.Join(append(lines, "Host: "+testHost, "Connection: close", "", ""), "\r\n")
+}
+
+// newPath puts both nodes before a backend server and returns the address for
+// callers.
+func newPath(t testing.TB, backend string) string {
+	t.Helper()
+	guard := serveCalls(t, NewGuard(backend, NewLink(LinkConfig{MaxConns: 110})))
+	holder := holderOf([]string{guard}, nil)
+	front := NewFront(holder, NewLink(LinkConfig{}), func(s *snapshot.Service) *snapshot.Endpoint { return s.Endpoints[0] })
+	return serveCalls(t, front)
+}
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -36,13 +35,19 @@
 
 // Reasons of outcomes, as sent in HeaderReason.
 const (
-	ReasonNoRoute    = "no_route"
-	ReasonNoBackend  = "no_backend"
-	ReasonDraining   = "draining"
-	ReasonConnect    = "connect_failed"
-	ReasonCut        = "connection_cut"
-	ReasonNotReady   = "not_ready"
-	ReasonTooManyHop = "too_many_hops"
+	ReasonNoRoute        = "no_route"
+	ReasonNoBackend      = "no_backend"
+	ReasonDraining       = "draining"
+	ReasonConnect        = "connect_failed"
+	ReasonCut            = "connection_cut"
+	ReasonNotReady       = "not_ready"
+	ReasonTooManyHop     = "too_many_hops"
+	ReasonHeaderTooLarge = "header_too_large"
+	ReasonBodyTooLarge   = "body_too_large"
+	ReasonBodyCut        = "body_cut"
+	ReasonUpgrade        = "upgrade_refused"
+	ReasonTarget         = "bad_target"
+	ReasonDeadline       = "deadline"
 )
 
 // maxHops is the deepest chain of calls.
@@ -73,26 +78,12 @@
 	_ = json.NewEncoder(w).Encode(f)
 }
 
-// hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// notRun returns the answer to a call that was not run.
+func notRun(status int, reason, message string) *Failure {
+	return &Failure{Status: status, Outcome: OutcomeNotRun, Reason: reason, Message: message}
 }
 
-// copyHeader adds the end-to-end headers of src to dst.
-func copyHeader(dst, src http.Header) {
-	drop := make(map[string]bool)
-	for _, line := range src["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			drop[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	for _, name := range hopHeaders {
-		drop[name] = true
-	}
-	for name, values := range src {
-		if !drop[name] {
-			dst[name] = append(dst[name], values...)
-		}
-	}
+// unknown returns the answer to a call that may have been run.
+func unknown(status int, reason, message string) *Failure {
+	return &Failure{Status: status, Outcome: OutcomeUnknown, Reason: reason, Message: message}
 }
--- /dev/null
+++ b/internal/proxy/hop.go
@@ -0,0 +1,140 @@
+package proxy
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxHeaderBytes bounds the request line and headers of a call.
+const maxHeaderBytes = 64 << 10
+
+// maxBodyBytes bounds the body of a call, so that one caller cannot hold a
+// slot with an endless upload.
+const maxBodyBytes = 1 << 30
+
+// viaName names the system in Via headers, which RFC 9110, 7.6.3 asks of
+// gateways.
+const viaName = "1.1 goldcrestshed"
+
+// errTarget marks a request target that cannot be passed on byte for byte.
+var errTarget = errors.New("request target cannot be passed on unchanged")
+
+// isHopHeader reports whether a header belongs to one connection (RFC 9110,
+// 7.6.1).
+func isHopHeader(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
+	}
+	return false
+}
+
+// copyEndToEnd adds the headers of a message that pass this hop to dst. Value
+// slices are shared and must not be changed in place.
+func copyEndToEnd(dst, src http.Header) {
+	for name, values := range src {
+		if !isHopHeader(name) {
+			dst[name] = values
+		}
+	}
+	for _, line := range src["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			delete(dst, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+}
+
+// requestHeader returns the headers of a call for the next hop, with room for
+// those that the caller of requestHeader adds.
+func requestHeader(in *http.Request) http.Header {
+	out := make(http.Header, len(in.Header)+8)
+	copyEndToEnd(out, in.Header)
+	if hasToken(in.Header["Te"], "trailers") {
+		out["Te"] = []string{"trailers"}
+	}
+	out["Via"] = append(in.Header["Via"][:len(in.Header["Via"]):len(in.Header["Via"])], viaName)
+	if _, ok := out["User-Agent"]; !ok {
+		out["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	return out
+}
+
+// hasToken reports whether a comma-separated header holds a token.
+func hasToken(lines []string, token string) bool {
+	for _, line := range lines {
+		for part := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// targetOf returns the URL that makes net/http send the request target of in
+// unchanged to an address.
+func targetOf(address string, in *http.Request) (*url.URL, error) {
+	raw := originForm(in)
+	if !strings.HasPrefix(raw, "//") {
+		return &url.URL{Scheme: "http", Host: address, Opaque: raw}, nil
+	}
+	// net/http takes an opaque part that begins with two slashes for an
+	// authority, so such a path goes through the parsed form.
+	u := &url.URL{Scheme: "http", Host: address, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery}
+	if u.RequestURI() != raw {
+		return nil, errTarget
+	}
+	return u, nil
+}
+
+// originForm returns the request target without scheme and authority.
+func originForm(in *http.Request) string {
+	raw := in.RequestURI
+	if strings.HasPrefix(raw, "/") || raw == "*" {
+		return raw
+	}
+	_, rest, ok := strings.Cut(raw, "://")
+	if !ok {
+		return in.URL.RequestURI()
+	}
+	i := strings.IndexAny(rest, "/?")
+	switch {
+	case i < 0:
+		return "/"
+	case rest[i] == '?':
+		return "/" + rest[i:]
+	}
+	return rest[i:]
+}
+
+// refusalOf returns the answer to a call that is not passed on as a matter of
+// HTTP, or nil.
+func refusalOf(in *http.Request) *Failure {
+	switch {
+	case headerBytes(in) > maxHeaderBytes:
+		return notRun(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderTooLarge, "the request line and headers exceed 64 KB")
+	case in.ContentLength > maxBodyBytes:
+		return notRun(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body exceeds 1 GB")
+	case in.Method == http.MethodConnect:
+		return notRun(http.StatusNotImplemented, ReasonUpgrade, "CONNECT is not supported")
+	case in.ProtoMajor == 1 && hasToken(in.Header["Connection"], "upgrade") && !hasToken(in.Header["Upgrade"], "h2c"):
+		// An offer of h2c may be ignored, since the same answer is as good
+		// over HTTP/1.1. Other protocols would change what follows.
+		return notRun(http.StatusNotImplemented, ReasonUpgrade, "protocol upgrades are not supported")
+	}
+	return nil
+}
+
+func headerBytes(in *http.Request) int {
+	n := len(in.Method) + len(in.RequestURI) + len(in.Proto) + len(in.Host)
+	for name, values := range in.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/proxy/relay.go
@@ -0,0 +1,166 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/textproto"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// pieceBytes is the most that is copied at once.
+const pieceBytes = 32 << 10
+
+// promptBytes is the length up to which an answer's header waits for its
+// body, since both usually come in one packet.
+const promptBytes = 4 << 10
+
+var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
+
+// errCaller marks a failure to write to the caller.
+var errCaller = errors.New("the caller does not take the answer")
+
+// relay copies an answer to the caller. After an error the answer is not
+// whole and the caller's connection must be aborted.
+func relay(w http.ResponseWriter, r *http.Request, a *answer) error {
+	rc := http.NewResponseController(w)
+	writeHeader(w, r, a)
+	if a.ContentLength > promptBytes || (a.ContentLength < 0 && r.Method != http.MethodHead) {
+		if err := flush(rc); err != nil {
+			return err
+		}
+	}
+	if err := copyBody(w, rc, a); err != nil {
+		return err
+	}
+	writeTrailer(w.Header(), a)
+	return nil
+}
+
+func writeHeader(w http.ResponseWriter, r *http.Request, a *answer) {
+	h := w.Header()
+	copyEndToEnd(h, a.Header)
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
+	for name := range a.Trailer {
+		h.Add("Trailer", name)
+	}
+	if closeDelimited(a) && r.ProtoMajor == 1 {
+		// The end of such a body is not proven, and chunked coding towards
+		// the caller would claim that it is.
+		h.Set("Transfer-Encoding", "identity")
+	}
+	w.WriteHeader(a.StatusCode)
+}
+
+// closeDelimited reports whether only the end of the connection ends the
+// body.
+func closeDelimited(a *answer) bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Request.Method != http.MethodHead
+}
+
+// copyBody passes each piece on at once, since streams may pause between
+// pieces. The last piece of a body of known length leaves with the end of the
+// answer.
+func copyBody(w io.Writer, rc *http.ResponseController, a *answer) error {
+	piece := pieces.Get().(*[pieceBytes]byte)
+	defer pieces.Put(piece)
+	left := a.ContentLength
+	for {
+		n, err := a.Read(piece[:])
+		if n > 0 {
+			left -= int64(n)
+			if err := writePiece(w, rc, piece[:n], left != 0); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read answer")
+		}
+	}
+}
+
+func writePiece(w io.Writer, rc *http.ResponseController, p []byte, more bool) error {
+	_ = rc.SetWriteDeadline(time.Now().Add(progressTimeout))
+	if _, err := w.Write(p); err != nil {
+		return errors.Mark(errors.Wrap(err, "write answer"), errCaller)
+	}
+	if !more {
+		return nil
+	}
+	return flush(rc)
+}
+
+func flush(rc *http.ResponseController) error {
+	if err := rc.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return errors.Mark(errors.Wrap(err, "write answer"), errCaller)
+	}
+	return nil
+}
+
+// writeTrailer passes the trailers on, those that were not announced too.
+func writeTrailer(h http.Header, a *answer) {
+	announced := make(map[string]bool)
+	for _, name := range h["Trailer"] {
+		announced[name] = true
+	}
+	for name, values := range a.Trailer {
+		if !announced[name] {
+			name = http.TrailerPrefix + name
+		}
+		h[name] = values
+	}
+}
+
+// abort breaks the caller's connection, so that a cut answer cannot pass as
+// whole. HTTP/1 connections are reset, since the end of the connection is
+// how some bodies end.
+func abort(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor != 1 {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// earlyHints passes 1xx answers on until the final answer is chosen. They
+// arrive on the goroutine that reads from the backend server.
+type earlyHints struct {
+	mu   sync.Mutex
+	w    http.ResponseWriter
+	done bool // guarded by mu
+}
+
+// pass writes one informational answer. 100 is left to net/http, which sends
+// it when the body is first read.
+func (e *earlyHints) pass(code int, header textproto.MIMEHeader) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.done || code == http.StatusContinue {
+		return
+	}
+	h := e.w.Header()
+	copyEndToEnd(h, http.Header(header))
+	e.w.WriteHeader(code)
+	clear(h)
+}
+
+// stop ends the passing of informational answers.
+func (e *earlyHints) stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.done = true
+}
--- /dev/null
+++ b/internal/standin/crash.go
@@ -0,0 +1,70 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Listen opens the listener of a Backend. After a crash it is called again
+// with the address of the first listener.
+type Listen func(address string) (net.Listener, error)
+
+// ListenTCP listens on a TCP address.
+func ListenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// Serve answers calls on ln until the context ends. A crash closes the
+// listener and every connection; after BackendFaults.CrashForMs it listens
+// again on the same address and starts cold.
+func (b *Backend) Serve(ctx context.Context, ln net.Listener, listen Listen) error {
+	address := ln.Addr().String()
+	for {
+		if err := b.serveOnce(ctx, ln); ctx.Err() != nil {
+			return nil
+		} else if !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve backend stand-in")
+		}
+		if !b.pauseAfterCrash(ctx) {
+			return nil
+		}
+		var err error
+		if ln, err = listen(address); err != nil {
+			return errors.Wrap(err, "listen after crash")
+		}
+	}
+}
+
+// serveOnce serves until a crash or the end of the context.
+func (b *Backend) serveOnce(ctx context.Context, ln net.Listener) error {
+	srv := &http.Server{Handler: b.Handler(), ReadHeaderTimeout: 10 * time.Second, Protocols: &http.Protocols{}}
+	srv.Protocols.SetHTTP1(true)
+	srv.Protocols.SetUnencryptedHTTP2(true)
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	b.setCrash(func() { _ = srv.Close() })
+	defer b.setCrash(nil)
+	return srv.Serve(ln)
+}
+
+func (b *Backend) setCrash(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crash = f
+}
+
+func (b *Backend) pauseAfterCrash(ctx context.Context) bool {
+	t := time.NewTimer(time.Duration(b.currentFaults().CrashForMs) * time.Millisecond)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.coolLocked()
+	return true
+}
