Build the path of calls on the decision packages

Cause: front and guard picked at random, admitted everything, never tried again and knew neither keys nor quarantine. Change: the front picks by balance, retries by retry.Decide within the budget, hedges idempotent calls whose body is kept, shortens the deadline at each hop, and learns load reports and quarantine from answers, which carry a mark of their call. The guard admits by the gate, runs keyed non-idempotent calls through once.Coordinator with the claim before the slot, recognises crashes and checks fingerprints, drains and waits.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -1,18 +1,128 @@
 package node
 
 import (
+	"context"
 	"math/rand/v2"
+	"time"
 
+	"github.com/oklog/run"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/admission"
+	"github.com/goldcrestshed/goldcrestshed/internal/balance"
+	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/once"
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
-	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
+	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
+	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 )
 
+// calls holds the parts that decide on calls.
+type calls struct {
+	stats      *balance.Stats
+	budgets    *retry.Budgets
+	latencies  *retry.Latencies
+	quarantine *quarantine.List
+	gate       *admission.Gate
+	once       *once.Coordinator
+	claims     *claimers
+	backend    *proxy.Link
+	nodes      *proxy.Link
+}
+
 // newCalls assembles the path of calls.
-func (n *Node) newCalls() {
-	n.front = proxy.NewFront(n.holder, proxy.NewLink(proxy.LinkConfig{}), pickRandom)
-	n.guard = proxy.NewGuard(n.settings.BackendServer.Address, proxy.NewLink(proxy.LinkConfig{MaxConns: n.settings.BackendServer.Connections}))
+func (n *Node) newCalls(log platformlog.Log, self membership.Member) {
+	c := &n.calls
+	c.stats = balance.NewStats(balance.Config{})
+	c.budgets = retry.NewBudgets()
+	c.latencies = retry.NewLatencies()
+	c.quarantine = quarantine.NewList(quarantine.Config{})
+	c.gate = admission.NewGate(admission.Config{
+		Slots: n.settings.BackendServer.Slots, Queue: defaultQueue, ColdStart: admission.DefaultColdStart,
+	})
+	c.claims = newClaimers(log)
+	c.once = once.NewCoordinator(once.CoordinatorConfig{
+		Self: once.Holder{Node: self.ID, Incarnation: self.Incarnation}, Reach: c.claims.reach,
+	})
+	c.backend = proxy.NewLink(proxy.LinkConfig{MaxConns: n.settings.BackendServer.Connections})
+	c.nodes = proxy.NewLink(proxy.LinkConfig{})
+	n.front = proxy.NewFront(proxy.FrontConfig{
+		Holder: n.holder, Link: c.nodes, Balancer: balance.NewBalancer(c.stats, locality(self), rand.Uint64), Stats: c.stats,
+		Budgets: c.budgets, Latencies: c.latencies, Quarantine: c.quarantine,
+	})
+	n.guard = proxy.NewGuard(proxy.GuardConfig{
+		Self: self.ID, Address: n.settings.BackendServer.Address, Link: c.backend, Peers: c.nodes,
+		Gate: c.gate, Once: c.once, Quarantine: c.quarantine, InFlight: quarantine.NewInFlight(), GuardOf: n.guardOf,
+	})
+}
+
+// defaultQueue is the bound on calls that wait for a slot, the default of the
+// policy.
+const defaultQueue = 64
+
+func locality(m membership.Member) balance.Locality {
+	return balance.Locality{Region: m.Region, FailureDomain: m.FailureDomain}
+}
+
+// guardOf returns the address of the guard of a holder that is alive. A
+// restarted node is another holder.
+func (n *Node) guardOf(h once.Holder) (string, bool) {
+	m, ok := n.table.Get(h.Node)
+	if !ok || m.Incarnation != h.Incarnation {
+		return "", false
+	}
+	switch m.Status {
+	case membership.StatusAlive, membership.StatusSuspect, membership.StatusDraining:
+		return m.GuardAddress, true
+	}
+	return "", false
+}
+
+const (
+	// gateEvery bounds how late a call that waits in vain is refused.
+	gateEvery = 10 * time.Millisecond
+	// pruneEvery and unusedAfter bound what is kept of servers, services and
+	// routes that are gone.
+	pruneEvery  = time.Second
+	unusedAfter = 10 * time.Minute
+)
+
+// addCalls adds the loops of the path of calls to the group.
+func (n *Node) addCalls(ctx context.Context, g *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	add := func(f func()) {
+		g.Add(func() error { f(); return nil }, func(error) { cancel() })
+	}
+	add(func() { every(ctx, gateEvery, n.calls.gate.Tick) })
+	add(func() { every(ctx, pruneEvery, n.pruneCalls) })
+	add(func() { _ = n.calls.once.Run(ctx) })
+	add(func() { n.calls.claims.run(ctx) })
+}
+
+func (n *Node) pruneCalls(now time.Time) {
+	n.calls.once.Tick(now)
+	n.calls.stats.Prune(now, unusedAfter)
+	n.calls.budgets.Prune(now, unusedAfter)
+	n.calls.latencies.Prune(now, unusedAfter)
+}
+
+// every runs f at an interval until the context ends.
+func every(ctx context.Context, d time.Duration, f func(time.Time)) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			f(now)
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
-func pickRandom(s *snapshot.Service) *snapshot.Endpoint {
-	return s.Endpoints[rand.IntN(len(s.Endpoints))]
+// registerCallDumps adds the state of the path of calls to the dump.
+func (n *Node) registerCallDumps() {
+	n.dump.Register("servers", func() any { return n.calls.stats.Views() })
+	n.dump.Register("load", func() any { return n.calls.gate.Report(time.Now()) })
+	n.dump.Register("quarantine", func() any { return n.calls.quarantine.Entries(time.Now()) })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	agent     *distribution.Agent
 	front     *proxy.Front
 	guard     *proxy.Guard
+	calls     calls
 	listeners listeners
 	drainNow  chan struct{} // closed by the first Drain
 }
@@ -53,9 +54,11 @@
 		drainNow: make(chan struct{}),
 	}
 	log := platformlog.NewClient(s.Log.Address, nil)
-	n.agent = distribution.NewAgent(log, n.self(), n.table, n.holder, logger)
-	n.newCalls()
+	self := n.self()
+	n.agent = distribution.NewAgent(log, self, n.table, n.holder, logger)
+	n.newCalls(log, self)
 	n.registerDumps()
+	n.registerCallDumps()
 	return n, nil
 }
 
@@ -108,6 +111,7 @@
 	defer n.metrics.Close()
 	var g run.Group
 	g.Add(func() error { return n.agent.Run(ctx) }, func(error) { cancel() })
+	n.addCalls(ctx, &g)
 	n.serve(&g, "calls", n.listeners.calls, n.front)
 	n.serve(&g, "guard", n.listeners.guard, n.guard)
 	n.serve(&g, "admin", n.listeners.admin, n.adminHandler())
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -16,11 +17,17 @@
 // written.
 const progressTimeout = 15 * time.Second
 
+// silentIdle is the idle time from which a connection may have gone silent
+// unnoticed.
+const silentIdle = time.Second
+
 // Errors that say in which phase a sending failed.
 var (
 	errConnect   = errors.New("no connection")
 	errFirstByte = errors.New("no answer within the time limit")
 	errProgress  = errors.New("the body made no progress")
+	errLost      = errors.New("another sending of the call answered first")
+	errMismatch  = errors.New("the answer belongs to another call")
 )
 
 // sending is one transmission of a call to an address.
@@ -30,8 +37,11 @@
 	header  http.Header
 	body    *keptBody
 	wait    time.Duration // limit until the first byte of the answer
-	fresh   bool          // on a new connection
-	early   func(code int, header textproto.MIMEHeader)
+	// idleWait is the limit when the connection had been idle for a while and
+	// may have gone silent; 0 stands for wait.
+	idleWait time.Duration
+	fresh    bool // on a new connection
+	early    func(code int, header textproto.MIMEHeader)
 }
 
 // answer is an answer whose body is still open. Reading resets the time limit
@@ -56,6 +66,18 @@
 	a.cancel(nil)
 }
 
+// discardBytes is the largest body that is read to its end in order to keep
+// the connection.
+const discardBytes = 4 << 10
+
+// discard ends the exchange and keeps the connection when the body is small.
+func (a *answer) discard() {
+	if a.ContentLength >= 0 && a.ContentLength <= discardBytes {
+		_, _ = io.Copy(io.Discard, a)
+	}
+	a.Close()
+}
+
 // sendError tells how far a sending got.
 type sendError struct {
 	cause     error
@@ -64,6 +86,7 @@
 	idle      time.Duration // time that a reused connection had been idle
 	connected bool
 	timedOut  bool // no answer within sending.wait
+	canceled  bool // by the caller or by a faster sending
 }
 
 // Error implements error.
@@ -72,11 +95,16 @@
 // Unwrap returns the cause.
 func (e *sendError) Unwrap() error { return e.cause }
 
+// refused reports whether no connection could be opened.
+func (e *sendError) refused() bool { return errors.Is(e.cause, errConnect) }
+
 // exchange follows the connections of one sending.
 type exchange struct {
-	link *Link
-	conn atomic.Pointer[trackedConn]
-	info atomic.Pointer[httptrace.GotConnInfo]
+	link     *Link
+	timer    *time.Timer
+	idleWait time.Duration
+	conn     atomic.Pointer[trackedConn]
+	info     atomic.Pointer[httptrace.GotConnInfo]
 }
 
 func (x *exchange) gotConn(info httptrace.GotConnInfo) {
@@ -88,15 +116,18 @@
 	if info.Reused && !x.link.trusts(conn) {
 		conn.seal()
 	}
+	if x.idleWait > 0 && info.Reused && info.IdleTime >= silentIdle {
+		x.timer.Reset(x.idleWait)
+	}
 	x.info.Store(&info)
 	x.conn.Store(conn)
 }
 
 // send sends a call and waits for the header of the answer.
 func (l *Link) send(ctx context.Context, s sending) (*answer, *sendError) {
-	x := &exchange{link: l}
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(s.wait, func() { cancel(errFirstByte) })
+	x := &exchange{link: l, timer: timer, idleWait: s.idleWait}
 	out, err := s.request(httptrace.WithClientTrace(ctx, x.trace(s.early)))
 	if err != nil {
 		timer.Stop()
@@ -117,8 +148,8 @@
 		}
 		return nil, failure
 	}
-	timer.Stop()
-	return &answer{Response: resp, cancel: cancel, timer: time.AfterFunc(progressTimeout, func() { cancel(errProgress) })}, nil
+	timer.Reset(progressTimeout)
+	return &answer{Response: resp, cancel: cancel, timer: timer}, nil
 }
 
 func (l *Link) roundTripper(fresh bool) http.RoundTripper {
@@ -142,6 +173,7 @@
 // failure seals the connection first, so that what it reports stays true.
 func (x *exchange) failure(err, cause error) *sendError {
 	e := &sendError{cause: errors.Wrap(err, "send call"), timedOut: errors.Is(cause, errFirstByte)}
+	e.canceled = cause != nil && !e.timedOut
 	conn := x.conn.Load()
 	if conn == nil {
 		return e
@@ -179,7 +211,6 @@
 		context.AfterFunc(out.Context(), func() { _ = body.Close() })
 		return
 	}
-	delete(out.Header, "Expect")
 	switch out.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
 		// net/http's Transport repeats these methods by itself when they have
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -76,6 +76,61 @@
 	return err
 }
 
+// await reads until the body has ended or keepBytes are kept, at most for the
+// given time. It takes nothing away from readers.
+func (b *keptBody) await(limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		b.mu.Lock()
+		enough := b.end != nil || len(b.piece) > 0 || len(b.kept) == keepBytes
+		if !enough {
+			b.readOnLocked()
+		}
+		changed := b.changed
+		b.mu.Unlock()
+		if enough {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+// prefix returns what is kept of the body's beginning.
+func (b *keptBody) prefix() []byte {
+	if b == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.kept
+}
+
+// resendable reports whether another reader could read the body from its
+// start.
+func (b *keptBody) resendable() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.owner == nil && (b.end == nil || b.end == io.EOF)
+}
+
+// complete reports whether the whole body is kept.
+func (b *keptBody) complete() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.owner == nil && b.end == io.EOF && len(b.piece) == 0
+}
+
 // failure returns the error with which the caller's body broke off, or nil.
 func (b *keptBody) failure() error {
 	if b == nil {
--- /dev/null
+++ b/internal/proxy/call.go
@@ -0,0 +1,212 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/once"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
+	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
+)
+
+// suspectRetryAfter is about the time that a call of a suspect takes.
+const suspectRetryAfter = 100 * time.Millisecond
+
+// Words of HeaderPriority.
+const (
+	priorityCaller     = "caller"
+	priorityBackground = "background"
+)
+
+// anyKeys is the value of HeaderOnce and of the policy that accepts every
+// form of key.
+const anyKeys = "any"
+
+// call is one call on its way through a Front.
+type call struct {
+	front      *Front
+	w          http.ResponseWriter
+	r          *http.Request
+	ctx        context.Context
+	route      *snapshot.Route
+	service    *snapshot.Service
+	policy     *profile.Policy
+	started    time.Time
+	deadline   time.Time // for the first byte of the answer
+	idempotent bool
+	once       bool // non-idempotent with a key: the guard runs it at most once
+	body       *keptBody
+	early      *earlyHints
+	header     http.Header // for the guard, but for what differs by sending
+	pass       *quarantine.Pass
+	exclude    []string // servers not to be tried
+	tries      int
+}
+
+// checkKey refuses a key that could not protect a call that must not run
+// twice.
+func (c *call) checkKey(now time.Time) *Failure {
+	text := c.r.Header.Get(HeaderKeyCaller)
+	if text == "" || c.idempotent {
+		return nil
+	}
+	rule := once.KeyRule{Any: c.policy.Keys == anyKeys, Retention: c.front.cfg.Retention()}
+	if _, refusal := once.ParseKey(text, rule, now); refusal != nil {
+		return notRun(http.StatusBadRequest, string(refusal.Reason), refusal.Message)
+	}
+	c.once = true
+	return nil
+}
+
+// baseHeader returns the headers for the guard.
+func (c *call) baseHeader(hops int) http.Header {
+	h := requestHeader(c.r)
+	for _, name := range []string{HeaderKey, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat} {
+		delete(h, name)
+	}
+	h[HeaderHops] = []string{strconv.Itoa(hops)}
+	h[HeaderRoute] = []string{c.route.ID}
+	h[HeaderPriority] = []string{c.priority()}
+	if key, ok := h[HeaderKeyCaller]; ok {
+		delete(h, HeaderKeyCaller)
+		h[HeaderKey] = key
+	}
+	if c.idempotent {
+		h[HeaderRepeat] = []string{"1"}
+	}
+	if c.once {
+		h[HeaderOnce] = []string{c.policy.Keys}
+	}
+	return h
+}
+
+// priority returns the lower one of the route's and the caller's priority.
+func (c *call) priority() string {
+	if c.route.Priority == priorityBackground || c.r.Header.Get(HeaderPriority) == priorityBackground {
+		return priorityBackground
+	}
+	return priorityCaller
+}
+
+// run sends the call until there is an answer to give.
+func (c *call) run(rc *http.ResponseController) {
+	if c.body.small() {
+		if err := c.body.take(rc, c.deadline); err != nil {
+			failureOf(&sendError{cause: err}, c.body).write(c.w)
+			return
+		}
+	}
+	if refusal := c.checkQuarantine(); refusal != nil {
+		refusal.write(c.w)
+		return
+	}
+	c.front.cfg.Budgets.Call(c.service.Name, c.policy.RetryBudget, c.started)
+	t := c.tryAll()
+	c.early.stop()
+	c.give(t)
+}
+
+// checkQuarantine refuses requests that are known to crash servers and keeps
+// suspects from servers that they may have crashed. A body that streams is
+// left to the guard, which sees its beginning in any case.
+func (c *call) checkQuarantine() *Failure {
+	if !c.body.complete() {
+		return nil
+	}
+	fp := fingerprintOf(c.r, c.body.prefix())
+	list := c.front.cfg.Quarantine
+	verdict := list.Check(fp, c.started)
+	if verdict.State == quarantine.Clear {
+		return nil
+	}
+	pass, admission := list.Send(fp, c.started)
+	if refusal := refusalBy(admission, verdict, c.started); refusal != nil {
+		return refusal
+	}
+	c.pass = pass
+	if len(verdict.Avoid) < len(c.service.Endpoints) {
+		c.exclude = append(c.exclude, verdict.Avoid...)
+	}
+	return nil
+}
+
+// refusalBy returns the answer to a request that quarantine does not admit.
+func refusalBy(a quarantine.Admission, v quarantine.Verdict, now time.Time) *Failure {
+	switch a {
+	case quarantine.Refused:
+		return notRun(http.StatusServiceUnavailable, ReasonQuarantined, "this request has crashed backend servers").later(v.Until.Sub(now))
+	case quarantine.Busy:
+		return notRun(http.StatusServiceUnavailable, ReasonSuspectBusy, "this request may have crashed a backend server and is being tried").later(suspectRetryAfter)
+	}
+	return nil
+}
+
+// fingerprintOf returns the fingerprint of a call, the same at each node.
+func fingerprintOf(r *http.Request, body []byte) quarantine.Fingerprint {
+	path, query, _ := strings.Cut(originForm(r), "?")
+	return quarantine.NewFingerprint(r.Method, r.Host, path, query, body)
+}
+
+// close lets go of what the call holds.
+func (c *call) close() { c.pass.Release() }
+
+func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
+
+// give answers the caller.
+func (c *call) give(t *tried) {
+	if t.answer == nil {
+		c.finish(t, false)
+		c.failureOf(t).write(c.w)
+		return
+	}
+	defer t.answer.Close()
+	c.editAnswer(t)
+	n, err := relay(c.w, c.r, t.answer)
+	t.bytes = n
+	c.finish(t, false)
+	if err != nil {
+		abort(c.w, c.r)
+		return
+	}
+	c.clearSuspicion(t)
+}
+
+// clearSuspicion tells others that a suspect was answered whole.
+func (c *call) clearSuspicion(t *tried) {
+	if c.pass == nil || !t.good() {
+		return
+	}
+	fp := fingerprintOf(c.r, c.body.prefix())
+	if news := c.front.cfg.Quarantine.Success(fp, time.Now()); len(news) > 0 {
+		c.front.cfg.News(news)
+	}
+}
+
+// editAnswer leaves the headers that are meant for the caller.
+func (c *call) editAnswer(t *tried) {
+	h := t.answer.Header
+	for _, name := range internalHeaders {
+		delete(h, name)
+	}
+	h.Set(HeaderAnswerHops, strconv.Itoa(answerHops(h)+1))
+	if t.exhausted {
+		h.Set(HeaderReason, retryReasonExhausted)
+	}
+}
+
+// failureOf returns the answer when no node gave one.
+func (c *call) failureOf(t *tried) *Failure {
+	f := t.failure
+	if f == nil {
+		f = failureOf(t.err, c.body)
+	}
+	if t.exhausted {
+		f.Message += " (" + f.Reason + ")"
+		f.Reason = retryReasonExhausted
+	}
+	return f
+}
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -180,3 +180,13 @@
 	c.once.Do(c.release)
 	return c.Conn.Close()
 }
+
+// refuses reports whether an address refuses a new connection.
+func (l *Link) refuses(ctx context.Context, address string) bool {
+	conn, err := l.open(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, errConnect) && ctx.Err() == nil
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -7,67 +7,74 @@
 	"strings"
 	"time"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/balance"
+	"github.com/goldcrestshed/goldcrestshed/internal/once"
+	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
+	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
 
+// FrontConfig holds what a Front decides with.
+type FrontConfig struct {
+	Holder     *snapshot.Holder
+	Link       *Link
+	Balancer   *balance.Balancer
+	Stats      *balance.Stats
+	Budgets    *retry.Budgets
+	Latencies  *retry.Latencies
+	Quarantine *quarantine.List
+	// News takes quarantine entries that other nodes should hear of; nil drops
+	// them.
+	News func([]quarantine.Entry)
+	// Retention returns how long the log keeps claims; nil stands for a
+	// default.
+	Retention func() time.Duration
+}
+
 // Front takes calls from callers and sends them to the node beside a backend
 // server of their service.
 type Front struct {
-	holder *snapshot.Holder
-	link   *Link
-	pick   func(*snapshot.Service) *snapshot.Endpoint
+	cfg    FrontConfig
+	flight *flight
 }
 
-// NewFront returns a Front that routes by the generations of a holder.
-func NewFront(h *snapshot.Holder, l *Link, pick func(*snapshot.Service) *snapshot.Endpoint) *Front {
-	return &Front{holder: h, link: l, pick: pick}
+// NewFront returns a Front.
+func NewFront(cfg FrontConfig) *Front {
+	if cfg.News == nil {
+		cfg.News = func([]quarantine.Entry) {}
+	}
+	if cfg.Retention == nil {
+		cfg.Retention = func() time.Duration { return once.DefaultRetention }
+	}
+	return &Front{cfg: cfg, flight: newFlight()}
 }
 
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	route, failure := f.route(r)
-	if failure != nil {
-		failure.write(w)
+	f.flight.enter()
+	defer f.flight.leave()
+	rc := beginCall(w, r)
+	defer endCall(rc, r)
+	if refusal := refusalOf(r); refusal != nil {
+		refusal.write(w)
 		return
 	}
-	hops, _ := strconv.Atoi(r.Header.Get(HeaderHops))
-	if hops >= maxHops {
-		notRun(http.StatusLoopDetected, ReasonTooManyHop, "the chain of calls is too deep").write(w)
+	route, refusal := f.route(r)
+	if refusal != nil {
+		refusal.write(w)
 		return
 	}
-	header := requestHeader(r)
-	header.Set(HeaderHops, strconv.Itoa(hops+1))
-	header.Set(HeaderRoute, route.ID)
-	header.Del(HeaderKey)
-	if key := header.Get(HeaderKeyCaller); key != "" {
-		header.Del(HeaderKeyCaller)
-		header.Set(HeaderKey, key)
-	}
-	early := &earlyHints{w: w}
-	body := newKeptBody(r)
-	if body.small() {
-		if err := body.take(http.NewResponseController(w), time.Now().Add(time.Duration(route.Service.Policy.Timeout))); err != nil {
-			failureOf(&sendError{cause: err}, body).write(w)
-			return
-		}
-	}
-	answer, err := f.link.send(r.Context(), sending{
-		address: f.pick(route.Service).GuardAddress, in: r, header: header, body: body,
-		wait: time.Duration(route.Service.Policy.Timeout), early: early.pass,
-	})
-	early.stop()
-	if err != nil {
-		failureOf(err, body).write(w)
+	c, refusal := f.newCall(w, r, route)
+	if refusal != nil {
+		refusal.write(w)
 		return
 	}
-	defer answer.Close()
-	if err := relay(w, r, answer); err != nil {
-		abort(w, r)
-	}
+	defer c.close()
+	c.run(rc)
 }
 
 func (f *Front) route(r *http.Request) (*snapshot.Route, *Failure) {
-	m := f.holder.Lookup(hostOf(r), r.Method, r.URL.Path)
+	m := f.cfg.Holder.Lookup(hostOf(r), r.Method, r.URL.Path)
 	switch {
 	case m.Generation == 0:
 		return nil, notRun(http.StatusServiceUnavailable, ReasonNotReady, "the node has no configuration yet")
@@ -86,3 +93,35 @@
 	}
 	return strings.ToLower(host)
 }
+
+// newCall reads what the caller asks for.
+func (f *Front) newCall(w http.ResponseWriter, r *http.Request, route *snapshot.Route) (*call, *Failure) {
+	hops, _ := strconv.Atoi(r.Header.Get(HeaderHops))
+	if hops >= maxHops {
+		return nil, notRun(http.StatusLoopDetected, ReasonTooManyHop, "the chain of calls is too deep")
+	}
+	now := time.Now()
+	c := &call{
+		front: f, w: w, r: r, ctx: r.Context(), route: route, service: route.Service, policy: &route.Service.Policy,
+		started: now, deadline: now.Add(timeoutOf(r, route)), idempotent: route.IsIdempotent(r.Method),
+		body: newKeptBody(r), early: &earlyHints{w: w},
+	}
+	if refusal := c.checkKey(now); refusal != nil {
+		return nil, refusal
+	}
+	c.header = c.baseHeader(hops + 1)
+	return c, nil
+}
+
+// timeoutOf returns the time limit of a call: the caller's, if it is shorter
+// than the route's.
+func timeoutOf(r *http.Request, route *snapshot.Route) time.Duration {
+	limit := time.Duration(route.Timeout)
+	if limit == 0 {
+		limit = time.Duration(route.Service.Policy.Timeout)
+	}
+	if left, ok := deadlineOf(r.Header); ok {
+		limit = min(limit, left)
+	}
+	return limit
+}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,8 +14,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/admission"
+	"github.com/goldcrestshed/goldcrestshed/internal/balance"
 	"github.com/goldcrestshed/goldcrestshed/internal/jsonc"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
+	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
 
@@ -135,12 +140,48 @@
 	return strings.Join(append(lines, "Host: "+testHost, "Connection: close", "", ""), "\r\n")
 }
 
+// testNode is a front and a guard as one node has them.
+type testNode struct {
+	guard      *Guard
+	gate       *admission.Gate
+	quarantine *quarantine.List
+	address    string // of the guard
+}
+
+// newTestNode returns a node beside a backend server.
+func newTestNode(t testing.TB, id, backend string, edit func(*GuardConfig)) *testNode {
+	n := &testNode{gate: admission.NewGate(admission.Config{Slots: 18, Queue: 64}), quarantine: quarantine.NewList(quarantine.Config{})}
+	cfg := GuardConfig{
+		Self: id, Address: backend, Link: NewLink(LinkConfig{MaxConns: 110}), Peers: NewLink(LinkConfig{}),
+		Gate: n.gate, Quarantine: n.quarantine, InFlight: quarantine.NewInFlight(),
+	}
+	if edit != nil {
+		edit(&cfg)
+	}
+	n.guard = NewGuard(cfg)
+	n.address = serveCalls(t, n.guard)
+	return n
+}
+
+// newTestFront returns a front that routes to guards and the address for
+// callers.
+func newTestFront(t testing.TB, guards []string, edit func(*snapshot.Route)) string {
+	t.Helper()
+	return serveCalls(t, frontOf(guards, edit, quarantine.NewList(quarantine.Config{})))
+}
+
+func frontOf(guards []string, edit func(*snapshot.Route), list *quarantine.List) *Front {
+	stats := balance.NewStats(balance.Config{})
+	return NewFront(FrontConfig{
+		Holder: holderOf(guards, edit), Link: NewLink(LinkConfig{}),
+		Balancer: balance.NewBalancer(stats, balance.Locality{}, rand.Uint64), Stats: stats,
+		Budgets: retry.NewBudgets(), Latencies: retry.NewLatencies(), Quarantine: list,
+	})
+}
+
 // newPath puts both nodes before a backend server and returns the address for
 // callers.
 func newPath(t testing.TB, backend string) string {
 	t.Helper()
-	guard := serveCalls(t, NewGuard(backend, NewLink(LinkConfig{MaxConns: 110})))
-	holder := holderOf([]string{guard}, nil)
-	front := NewFront(holder, NewLink(LinkConfig{}), func(s *snapshot.Service) *snapshot.Endpoint { return s.Endpoints[0] })
-	return serveCalls(t, front)
+	return newTestFront(t, []string{newTestNode(t, "a", backend, nil).address}, nil)
 }
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -20,7 +20,14 @@
 	HeaderHops         = "Goldcrest-Hops"
 	HeaderKey          = "Goldcrest-Key" // the idempotency key between nodes
 	HeaderRoute        = "Goldcrest-Route"
-	HeaderKeyCaller    = "Idempotency-Key" // the idempotency key from callers
+	HeaderKeyCaller    = "Idempotency-Key"       // the idempotency key from callers
+	HeaderOnce         = "Goldcrest-Once"        // between nodes: run at most once under the key; the value is the form of keys
+	HeaderRepeat       = "Goldcrest-Repeat"      // between nodes: the call may run more than once
+	HeaderHeld         = "Goldcrest-Held"        // between nodes: the call was sent on to the holder of its key
+	HeaderCall         = "Goldcrest-Call"        // between nodes: a mark that the answer repeats
+	HeaderLoad         = "Goldcrest-Load"        // between nodes: load report of the backend server
+	HeaderQuarantine   = "Goldcrest-Quarantine"  // between nodes: news of quarantine
+	HeaderAnswerHops   = "Goldcrest-Answer-Hops" // nodes that the answer has passed through
 )
 
 // Outcome tells a caller what became of a call.
@@ -48,6 +55,11 @@
 	ReasonUpgrade        = "upgrade_refused"
 	ReasonTarget         = "bad_target"
 	ReasonDeadline       = "deadline"
+	ReasonQuarantined    = "quarantined"
+	ReasonSuspectBusy    = "suspect_busy"
+	ReasonCanceled       = "canceled"
+	ReasonMismatch       = "answer_mismatch"
+	ReasonBudget         = "cross_region_budget"
 )
 
 // maxHops is the deepest chain of calls.
@@ -61,6 +73,7 @@
 	Message      string        `json:"message"`
 	RetryAfter   time.Duration `json:"-"`
 	RetryAfterMs int64         `json:"retryAfterMs,omitempty"`
+	RanStatus    int           `json:"ranStatus,omitempty"` // of an answer that is no longer there
 }
 
 func (f Failure) write(w http.ResponseWriter) {
@@ -83,6 +96,12 @@
 	return &Failure{Status: status, Outcome: OutcomeNotRun, Reason: reason, Message: message}
 }
 
+// later adds the time after which the call may be tried again.
+func (f *Failure) later(after time.Duration) *Failure {
+	f.RetryAfter = after
+	return f
+}
+
 // unknown returns the answer to a call that may have been run.
 func unknown(status int, reason, message string) *Failure {
 	return &Failure{Status: status, Outcome: OutcomeUnknown, Reason: reason, Message: message}
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -51,12 +51,15 @@
 // requestHeader returns the headers of a call for the next hop, with room for
 // those that the caller of requestHeader adds.
 func requestHeader(in *http.Request) http.Header {
-	out := make(http.Header, len(in.Header)+8)
+	out := make(http.Header, len(in.Header)+12)
 	copyEndToEnd(out, in.Header)
 	if hasToken(in.Header["Te"], "trailers") {
 		out["Te"] = []string{"trailers"}
 	}
 	out["Via"] = append(in.Header["Via"][:len(in.Header["Via"]):len(in.Header["Via"])], viaName)
+	if in.ContentLength == 0 {
+		delete(out, "Expect") // there is no body to ask for
+	}
 	if _, ok := out["User-Agent"]; !ok {
 		out["User-Agent"] = nil // keeps net/http from adding its own
 	}
--- a/internal/proxy/http_test.go
+++ b/internal/proxy/http_test.go
@@ -101,7 +101,7 @@
 			conn, err := net.Dial("tcp", address)
 			assert.NilError(t, err)
 			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: "+testHost+"\r\n"+tt.header+"\r\n\r\n"+tt.body)
-			time.Sleep(20 * time.Millisecond) // lets the beginning reach the backend server
+			time.Sleep(5 * streamPrefixWait) // lets the beginning reach the backend server
 			_ = conn.(*net.TCPConn).CloseWrite()
 			_, _ = io.ReadAll(conn) // until the path has dealt with it
 			_ = conn.Close()
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -23,21 +23,23 @@
 // errCaller marks a failure to write to the caller.
 var errCaller = errors.New("the caller does not take the answer")
 
-// relay copies an answer to the caller. After an error the answer is not
-// whole and the caller's connection must be aborted.
-func relay(w http.ResponseWriter, r *http.Request, a *answer) error {
+// relay copies an answer to the caller and returns the bytes of its body.
+// After an error the answer is not whole and the caller's connection must be
+// aborted.
+func relay(w http.ResponseWriter, r *http.Request, a *answer) (int64, error) {
 	rc := http.NewResponseController(w)
 	writeHeader(w, r, a)
 	if a.ContentLength > promptBytes || (a.ContentLength < 0 && r.Method != http.MethodHead) {
 		if err := flush(rc); err != nil {
-			return err
+			return 0, err
 		}
 	}
-	if err := copyBody(w, rc, a); err != nil {
-		return err
+	n, err := copyBody(w, rc, a)
+	if err != nil {
+		return n, err
 	}
 	writeTrailer(w.Header(), a)
-	return nil
+	return n, nil
 }
 
 func writeHeader(w http.ResponseWriter, r *http.Request, a *answer) {
@@ -66,23 +68,23 @@
 // copyBody passes each piece on at once, since streams may pause between
 // pieces. The last piece of a body of known length leaves with the end of the
 // answer.
-func copyBody(w io.Writer, rc *http.ResponseController, a *answer) error {
+func copyBody(w io.Writer, rc *http.ResponseController, a *answer) (int64, error) {
 	piece := pieces.Get().(*[pieceBytes]byte)
 	defer pieces.Put(piece)
-	left := a.ContentLength
+	var total int64
 	for {
 		n, err := a.Read(piece[:])
 		if n > 0 {
-			left -= int64(n)
-			if err := writePiece(w, rc, piece[:n], left != 0); err != nil {
-				return err
+			total += int64(n)
+			if err := writePiece(w, rc, piece[:n], total != a.ContentLength); err != nil {
+				return total, err
 			}
 		}
 		if err == io.EOF {
-			return nil
+			return total, nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "read answer")
+			return total, errors.Wrap(err, "read answer")
 		}
 	}
 }
--- /dev/null
+++ b/internal/proxy/report.go
@@ -0,0 +1,109 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/admission"
+	"github.com/goldcrestshed/goldcrestshed/internal/balance"
+	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
+)
+
+// internalHeaders are of use between nodes only and not given to callers.
+var internalHeaders = []string{HeaderCall, HeaderLoad, HeaderQuarantine}
+
+// formatLoad writes a load report as "in use,queued,slots".
+func formatLoad(r admission.LoadReport) string {
+	b := make([]byte, 0, 16)
+	b = strconv.AppendInt(b, int64(r.InUse), 10)
+	b = strconv.AppendInt(append(b, ','), int64(r.Queued), 10)
+	b = strconv.AppendInt(append(b, ','), int64(r.Slots), 10)
+	return string(b)
+}
+
+// parseLoad reads the form of formatLoad and returns nil for any other text.
+func parseLoad(text string) *balance.LoadReport {
+	used, rest, ok := strings.Cut(text, ",")
+	queued, slots, ok2 := strings.Cut(rest, ",")
+	if !ok || !ok2 {
+		return nil
+	}
+	var r balance.LoadReport
+	for _, field := range []struct {
+		text string
+		to   *int
+	}{{used, &r.InFlight}, {queued, &r.Queued}, {slots, &r.Slots}} {
+		n, err := strconv.Atoi(field.text)
+		if err != nil || n < 0 {
+			return nil
+		}
+		*field.to = n
+	}
+	return &r
+}
+
+// formatEntries writes news of quarantine for an answer's header.
+func formatEntries(entries []quarantine.Entry) string {
+	text, err := json.Marshal(entries)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
+func parseEntries(text string) []quarantine.Entry {
+	var entries []quarantine.Entry
+	if json.Unmarshal([]byte(text), &entries) != nil {
+		return nil
+	}
+	return entries
+}
+
+// retryAfterOf returns the time after which an answer asks to be tried again,
+// 0 when it does not say.
+func retryAfterOf(h http.Header) time.Duration {
+	if ms, err := strconv.ParseInt(h.Get(HeaderRetryAfterMs), 10, 64); err == nil && ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	if s, err := strconv.ParseInt(h.Get("Retry-After"), 10, 32); err == nil && s > 0 {
+		return time.Duration(s) * time.Second
+	}
+	return 0
+}
+
+// Bounds of the time that a call loses at each hop, so that the answer of the
+// node below still arrives in time.
+const (
+	hopMargin     = 10 * time.Millisecond
+	hopMarginPart = 20
+)
+
+// formatDeadline writes the time left for the next hop.
+func formatDeadline(left time.Duration) string {
+	left -= min(hopMargin, left/hopMarginPart)
+	return strconv.FormatInt(max(left.Milliseconds(), 1), 10)
+}
+
+// deadlineOf returns the time that a call has left by its header, and false
+// when the header does not say.
+func deadlineOf(h http.Header) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(h.Get(HeaderDeadlineMs), 10, 64)
+	if err != nil || ms < 0 || ms > maxDeadline.Milliseconds() {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+// maxDeadline is the longest time that a call may have.
+const maxDeadline = time.Hour
+
+func answerHops(h http.Header) int {
+	n, err := strconv.Atoi(h.Get(HeaderAnswerHops))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return min(n, maxHops)
+}
--- /dev/null
+++ b/internal/proxy/try.go
@@ -0,0 +1,263 @@
+package proxy
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/balance"
+	"github.com/goldcrestshed/goldcrestshed/internal/retry"
+)
+
+const retryReasonExhausted = retry.ReasonExhausted
+
+// leastAttempt is the least time in which another attempt can succeed: a
+// connection, two hops and a fast answer.
+const leastAttempt = 5 * time.Millisecond
+
+// Part of the time left after which a connection that had been idle counts as
+// silent. The front waits longer than the guard, so that the guard can mend a
+// silent connection to its backend server first.
+const (
+	frontIdleWait = 2.0 / 3
+	guardIdleWait = 1.0 / 3
+)
+
+// tried is the result of one attempt.
+type tried struct {
+	choice    balance.Choice
+	begun     time.Time
+	elapsed   time.Duration // until the first byte or the failure
+	answer    *answer
+	err       *sendError
+	failure   *Failure // when the call went to no server
+	exhausted bool     // a retry would have been right but is not allowed
+	bytes     int64    // of the answer's body
+	load      *balance.LoadReport
+}
+
+// outcome returns what is known of the attempt.
+func (t *tried) outcome() retry.Outcome {
+	switch {
+	case t.answer != nil:
+		return retry.Outcome(t.answer.Header.Get(HeaderOutcome))
+	case t.err != nil && t.err.sent:
+		return retry.Unknown
+	}
+	return retry.NotRun
+}
+
+func (t *tried) status() int {
+	if t.answer == nil {
+		return 0
+	}
+	return t.answer.StatusCode
+}
+
+// good reports whether the attempt brought the answer of a healthy server.
+func (t *tried) good() bool {
+	return t.answer != nil && t.outcome() == retry.Ran && t.answer.StatusCode < http.StatusInternalServerError
+}
+
+func (t *tried) reason() string {
+	switch {
+	case t.answer != nil:
+		return t.answer.Header.Get(HeaderReason)
+	case t.err != nil && !t.err.sent:
+		return ReasonConnect
+	}
+	return ""
+}
+
+// tryAll sends the call until an answer is to be given to the caller.
+func (c *call) tryAll() *tried {
+	var last *tried
+	for {
+		choice, err := c.pick(last)
+		if err != nil {
+			return c.noServer(last, err)
+		}
+		c.drop(last)
+		t := c.try(choice)
+		if !c.again(t) {
+			return t
+		}
+		c.exclude = append(c.exclude, choice.Endpoint.ID)
+		last = t
+	}
+}
+
+// again decides whether another server is tried after an attempt.
+func (c *call) again(t *tried) bool {
+	if c.body.failure() != nil {
+		return false // no server can do better with a broken body
+	}
+	d := retry.Decide(c.describe(t))
+	if d.Verdict == retry.TryNext && !c.spend() {
+		d.Verdict = retry.GiveUp
+	}
+	t.exhausted = d.Verdict == retry.GiveUp
+	return d.Verdict == retry.TryNext
+}
+
+func (c *call) describe(t *tried) retry.Attempt {
+	a := retry.Attempt{
+		Idempotent: c.idempotent, Outcome: t.outcome(), Reason: t.reason(), Status: t.status(),
+		Tries: c.tries, MaxRetries: c.policy.Retries, Remaining: c.remaining(), Needed: leastAttempt,
+		Canceled: c.ctx.Err() != nil, BodyLost: !c.body.resendable(),
+	}
+	if t.answer != nil {
+		a.AnswerHops = answerHops(t.answer.Header)
+	}
+	return a
+}
+
+func (c *call) spend() bool {
+	return c.front.cfg.Budgets.Spend(c.service.Name, c.policy.RetryBudget, time.Now())
+}
+
+// pick chooses the next server. When every server was tried and the last one
+// asked to be tried later, it waits for that time if the deadline allows.
+func (c *call) pick(last *tried) (balance.Choice, error) {
+	request := balance.Request{Service: c.service, Exclude: c.exclude}
+	choice, err := c.front.cfg.Balancer.Pick(time.Now(), request)
+	if err == nil || last == nil || last.outcome() != retry.NotRun || last.answer == nil {
+		return choice, err
+	}
+	after := retryAfterOf(last.answer.Header)
+	if after == 0 || after > c.remaining()/2 || !pause(c.ctx, after) {
+		return choice, err
+	}
+	request.Exclude = nil
+	return c.front.cfg.Balancer.Pick(time.Now(), request)
+}
+
+// pause waits and reports whether ctx still holds.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// noServer returns what to give when no server is left to be tried.
+func (c *call) noServer(last *tried, err error) *tried {
+	if last != nil {
+		last.exhausted = true
+		return last
+	}
+	reason, message := ReasonNoBackend, "the service has no backend server to send the call to"
+	if errors.Is(err, balance.ErrCrossRegionSpent) {
+		reason, message = ReasonBudget, "only other regions have a backend server and the bound on bytes to them is spent"
+	}
+	return &tried{failure: notRun(http.StatusServiceUnavailable, reason, message).later(time.Second)}
+}
+
+// drop closes the answer of an attempt that is not given to the caller.
+func (c *call) drop(t *tried) {
+	if t == nil {
+		return
+	}
+	if t.answer != nil {
+		t.answer.discard()
+	}
+	c.finish(t, false)
+}
+
+// attempt sends the call to one server.
+func (c *call) attempt(ctx context.Context, choice balance.Choice, early func(int, textproto.MIMEHeader)) *tried {
+	t := &tried{choice: choice, begun: time.Now()}
+	c.front.cfg.Stats.Begin(choice.Endpoint.ID, t.begun)
+	t.answer, t.err = c.send(ctx, choice, false, early)
+	if c.mayRepeat(t.err) {
+		t.answer, t.err = c.send(ctx, choice, true, early)
+	}
+	t.elapsed = time.Since(t.begun)
+	if t.answer != nil {
+		t.load = parseLoad(t.answer.Header.Get(HeaderLoad))
+		c.learn(t.answer.Header)
+	}
+	return t
+}
+
+// mayRepeat reports whether a call that failed on a connection used before is
+// sent again on a new one, before the server is blamed.
+func (c *call) mayRepeat(err *sendError) bool {
+	if err == nil || !err.reused || err.canceled || c.remaining() < leastAttempt || !c.body.resendable() {
+		return false
+	}
+	return !err.sent || ((c.idempotent || c.once) && c.spend())
+}
+
+func (c *call) send(ctx context.Context, choice balance.Choice, fresh bool, early func(int, textproto.MIMEHeader)) (*answer, *sendError) {
+	left := max(c.remaining(), time.Millisecond)
+	header := maps.Clone(c.header)
+	mark := strconv.FormatUint(rand.Uint64(), 36)
+	header[HeaderCall] = []string{mark}
+	header[HeaderDeadlineMs] = []string{formatDeadline(left)}
+	s := sending{
+		address: choice.Endpoint.GuardAddress, in: c.r, header: header, body: c.body,
+		wait: left, fresh: fresh, early: early,
+	}
+	if c.idempotent || c.once {
+		s.idleWait = time.Duration(float64(left) * frontIdleWait)
+	}
+	a, err := c.front.cfg.Link.send(ctx, s)
+	if err == nil && (a.Header.Get(HeaderCall) != mark || a.Header.Get(HeaderOutcome) == "") {
+		a.Close()
+		return nil, &sendError{cause: errMismatch, sent: true, connected: true}
+	}
+	return a, err
+}
+
+// learn takes over what a node says beside its answer.
+func (c *call) learn(h http.Header) {
+	text := h.Get(HeaderQuarantine)
+	if text == "" {
+		return
+	}
+	if news := c.front.cfg.Quarantine.Merge(parseEntries(text), time.Now()); len(news) > 0 {
+		c.front.cfg.News(news)
+	}
+}
+
+// finish reports an attempt to the balancer once it is over. Latencies are
+// those until the first byte, so that long downloads do not look slow.
+func (c *call) finish(t *tried, lost bool) {
+	if t.choice.Endpoint == nil {
+		return
+	}
+	now := time.Now()
+	r := c.result(t)
+	r.Canceled = lost || (t.err != nil && t.err.canceled)
+	c.front.cfg.Stats.End(t.choice.Endpoint.ID, now, r)
+	if t.outcome() == retry.Ran || lost {
+		c.front.cfg.Latencies.Observe(c.route.ID, t.elapsed, now)
+	}
+	if t.choice.Tier == balance.TierAcross {
+		c.front.cfg.Balancer.SpendCrossRegion(now, max(c.r.ContentLength, 0)+t.bytes)
+	}
+}
+
+func (c *call) result(t *tried) balance.Result {
+	r := balance.Result{Latency: t.elapsed, NotRun: t.outcome() == retry.NotRun}
+	if t.answer == nil {
+		r.Failed = c.body.failure() == nil
+		return r
+	}
+	h := t.answer.Header
+	r.RetryAfter = retryAfterOf(h)
+	r.Failed = t.status() >= http.StatusInternalServerError && (!r.NotRun || h.Get(HeaderReason) == ReasonConnect)
+	r.Report = t.load
+	return r
+}
