--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,9 +5,7 @@
 	"context"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -35,6 +33,7 @@
 	peers     peers
 	front     *proxy.Front
 	guard     *proxy.Guard
+	calls     calls
 	listeners listeners
 	servers   servers       // of calls and guard; the admin server outlives a drain
 	draining  chan struct{} // closed by the first Drain
@@ -60,10 +59,11 @@
 		draining: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	log := platformlog.NewClient(s.Log.Address, nil)
-	n.newAgent(log, n.self())
-	n.front = proxy.NewFront(n.holder, newTransport(0), pickRandom)
-	n.guard = proxy.NewGuard(s.BackendServer.Address, newTransport(s.BackendServer.Connections))
+	self := n.self()
+	n.newAgent(log, self)
+	n.newCalls(log, self)
 	n.registerDumps()
+	n.registerCallDumps()
 	return n, nil
 }
 
@@ -91,23 +91,6 @@
 	}
 }
 
-const (
-	idleTimeout       = 30 * time.Second
-	readHeaderTimeout = 10 * time.Second
-	maxHeaderBytes    = 64 << 10
-)
-
-func newTransport(maxConns int) *http.Transport {
-	return &http.Transport{
-		MaxConnsPerHost: maxConns, MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-	}
-}
-
-func pickRandom(s *snapshot.Service) *snapshot.Endpoint {
-	return s.Endpoints[rand.IntN(len(s.Endpoints))]
-}
-
 func (n *Node) self() membership.Member {
 	return membership.Member{
 		ID: n.settings.Node.ID, Incarnation: time.Now().UnixNano(),
@@ -134,6 +117,7 @@
 	var g run.Group
 	g.Add(func() error { return n.agent.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return n.runMetrics(ctx) }, func(error) { cancel() })
+	n.addCalls(ctx, &g)
 	n.servePeers(ctx, &g)
 	g.Add(func() error { return n.runDrain(ctx) }, func(error) { cancel() })
 	n.servers.add(n.serve(&g, "calls", n.listeners.calls, n.front))
