Send claims to the node that the members agree on

Cause: every node batched the claims of its own calls, so 870 nodes could append 20 times a second each. Change: rendezvous hashing picks two members for each of the 16 streams; claims go to the first, to the second when it does not answer, and are batched here only by the choice itself. goldcrestctl init opens the streams, so that keys are covered from the start. Conclusion: at most 16 x 20 appends a second while the members agree; the order of the log decides when they don't.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -17,6 +17,7 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/operator"
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 )
 
 const (
@@ -171,9 +172,9 @@
 			if i%4 == 0 {
 				method = http.MethodPost
 			}
-			status, err := call(ctx, method, m.node.CallsAddress())
-			if err != nil || status != http.StatusOK {
-				return errors.Newf("%s through node %s: status %d, error %v", method, m.id, status, err)
+			a, err := call(ctx, method, m.node.CallsAddress())
+			if err != nil || a.status != http.StatusOK {
+				return errors.Newf("%s through node %s: %s, error %v", method, m.id, a, err)
 			}
 			answered++
 		}
@@ -185,9 +186,9 @@
 func (d *Demo) awaitStatus(ctx context.Context, want int) error {
 	for _, m := range d.nodes {
 		err := until(ctx, func() error {
-			got, err := call(ctx, http.MethodGet, m.node.CallsAddress())
-			if err != nil || got != want {
-				return errors.Newf("node %s: status %d, want %d, error %v", m.id, got, want, err)
+			a, err := call(ctx, http.MethodGet, m.node.CallsAddress())
+			if err != nil || a.status != want {
+				return errors.Newf("node %s: %s, want %d, error %v", m.id, a, want, err)
 			}
 			return nil
 		})
@@ -198,26 +199,37 @@
 	return nil
 }
 
-func call(ctx context.Context, method, address string) (int, error) {
+// answer is what a caller sees of one call.
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+}
+
+func (a answer) String() string {
+	return fmt.Sprintf("status %d, outcome %q, reason %q", a.status, a.outcome, a.reason)
+}
+
+func call(ctx context.Context, method, address string) (answer, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/offers", strings.NewReader("demo"))
 	if err != nil {
-		return 0, err
+		return answer{}, err
 	}
 	req.Host = hostName
 	if method == http.MethodPost {
 		key, err := uuid.NewV7()
 		if err != nil {
-			return 0, err
+			return answer{}, err
 		}
-		req.Header.Set("Idempotency-Key", key.String())
+		req.Header.Set(proxy.HeaderKeyCaller, key.String())
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0, err
+		return answer{}, err
 	}
 	defer resp.Body.Close()
 	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, err
+	return answer{resp.StatusCode, resp.Header.Get(proxy.HeaderOutcome), resp.Header.Get(proxy.HeaderReason)}, err
 }
 
 // until repeats check until it holds or the context ends.
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -40,7 +40,7 @@
 	c.gate = admission.NewGate(admission.Config{
 		Slots: n.settings.BackendServer.Slots, Queue: defaultQueue, ColdStart: admission.DefaultColdStart,
 	})
-	c.claims = newClaimers(log)
+	c.claims = newClaimers(self.ID, log, n.table, n.peers.pool)
 	c.once = once.NewCoordinator(once.CoordinatorConfig{
 		Self: once.Holder{Node: self.ID, Incarnation: self.Incarnation}, Reach: c.claims.reach,
 	})
@@ -96,7 +96,7 @@
 	add(func() { every(ctx, gateEvery, n.calls.gate.Tick) })
 	add(func() { every(ctx, pruneEvery, n.pruneCalls) })
 	add(func() { _ = n.calls.once.Run(ctx) })
-	add(func() { n.calls.claims.run(ctx) })
+	add(func() { n.calls.claims.run(ctx, n.agent.ReadyDone()) })
 }
 
 func (n *Node) pruneCalls(now time.Time) {
@@ -124,5 +124,6 @@
 func (n *Node) registerCallDumps() {
 	n.dump.Register("servers", func() any { return n.calls.stats.Views() })
 	n.dump.Register("load", func() any { return n.calls.gate.Report(time.Now()) })
+	n.dump.Register("claims", func() any { return n.calls.claims.views() })
 	n.dump.Register("quarantine", func() any { return n.calls.quarantine.Entries(time.Now()) })
 }
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -2,26 +2,76 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/membership"
 	"github.com/goldcrestshed/goldcrestshed/internal/once"
+	"github.com/goldcrestshed/goldcrestshed/internal/peer"
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/shard"
 )
 
-// claimers holds the node's own batchers. Any node may batch claims, since
-// the order of the log decides. A batcher starts with its first claim.
+const (
+	// assignEvery is how often the batchers are chosen anew from the table.
+	assignEvery = time.Second
+	// batcherIdle is how long a batcher that is not this node's to run goes on
+	// after its last request. Starting one reads its stream from the start.
+	batcherIdle = time.Minute
+	// avoidFailed is how long a batcher that did not answer is passed over,
+	// the time in which the members notice a death.
+	avoidFailed = 5 * time.Second
+	// claimLimit bounds a claim that another node sent.
+	claimLimit = 5 * time.Second
+)
+
+// claimers finds the way to the batcher of each partition: on this node, or
+// on the node that the members agree on. Any node may batch claims, since the
+// order of the log decides.
 type claimers struct {
-	log    platformlog.Log
-	wanted chan int // partitions whose batcher is to be started
+	self  string
+	log   platformlog.Log
+	table *membership.Table
+	pool  *peer.Pool
+
+	assigned atomic.Pointer[[once.Partitions][]membership.Member]
+	local    *shard.Map[*localBatcher] // by stream
+	failed   *shard.Map[time.Time]     // by node: when it last did not answer
+	start    chan *localBatcher
+}
 
-	mu       sync.Mutex
-	batchers [once.Partitions]*once.Batcher // guarded by mu
+// localBatcher is a batcher that runs on this node.
+type localBatcher struct {
+	*once.Batcher
+	partition int
+	used      atomic.Int64 // Unix time of the last request in ns
+	stop      chan struct{}
+	stopOnce  sync.Once
 }
 
-func newClaimers(log platformlog.Log) *claimers {
-	return &claimers{log: log, wanted: make(chan int, once.Partitions)}
+func newClaimers(self string, log platformlog.Log, table *membership.Table, pool *peer.Pool) *claimers {
+	c := &claimers{
+		self: self, log: log, table: table, pool: pool,
+		local:  shard.NewMap[*localBatcher](once.Partitions),
+		failed: shard.NewMap[time.Time](shard.DefaultCount),
+		start:  make(chan *localBatcher),
+	}
+	c.assign()
+	return c
+}
+
+// assign chooses the batchers of every partition.
+func (c *claimers) assign() {
+	members := c.table.All()
+	var all [once.Partitions][]membership.Member
+	for p := range all {
+		all[p] = membership.Batchers(once.Stream(p), members)
+	}
+	c.assigned.Store(&all)
 }
 
 // reach returns the way to the batcher of a partition.
@@ -29,32 +79,221 @@
 	if partition < 0 || partition >= once.Partitions {
 		return nil, errors.Mark(errors.Newf("there is no partition %d", partition), once.ErrWrongPartition)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.batchers[partition] == nil {
-		c.batchers[partition] = once.NewBatcher(once.BatcherConfig{Partition: partition}, c.log)
-		c.wanted <- partition // has room for every partition
+	for _, m := range c.assigned.Load()[partition] {
+		if m.ID == c.self {
+			break
+		}
+		if at, ok := c.failed.Get(m.ID); ok && time.Since(at) < avoidFailed {
+			continue
+		}
+		return &remoteBatcher{claimers: c, member: m}, nil
+	}
+	return c.batcher(partition), nil
+}
+
+// batcher returns the batcher of a partition on this node and starts it when
+// there is none.
+func (c *claimers) batcher(partition int) *localBatcher {
+	var out *localBatcher
+	created := false
+	c.local.Update(once.Stream(partition), func(have *localBatcher, ok bool) (*localBatcher, bool) {
+		if !ok {
+			have = &localBatcher{
+				Batcher:   once.NewBatcher(once.BatcherConfig{Partition: partition}, c.log),
+				partition: partition, stop: make(chan struct{}),
+			}
+			created = true
+		}
+		have.used.Store(time.Now().UnixNano())
+		out = have
+		return have, true
+	})
+	if created {
+		c.start <- out // taken by run, which outlives every caller
 	}
-	return c.batchers[partition], nil
+	return out
 }
 
-// run starts batchers as they are wanted and waits for their end.
-func (c *claimers) run(ctx context.Context) {
+// run runs the batchers of this node until the context ends. A node that does
+// not know the members yet is nobody's choice, so the first review waits for
+// ready.
+func (c *claimers) run(ctx context.Context, ready <-chan struct{}) {
 	var running sync.WaitGroup
 	defer running.Wait()
+	running.Go(func() {
+		select {
+		case <-ready:
+			c.review(time.Now())
+			every(ctx, assignEvery, c.review)
+		case <-ctx.Done():
+		}
+	})
 	for {
 		select {
-		case p := <-c.wanted:
-			b := c.batcher(p)
-			running.Go(func() { _ = b.Run(ctx) })
+		case b := <-c.start:
+			running.Go(func() { c.runBatcher(ctx, b) })
 		case <-ctx.Done():
+			c.refuseStarts()
 			return
 		}
 	}
 }
 
-func (c *claimers) batcher(partition int) *once.Batcher {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.batchers[partition]
+// refuseStarts lets callers that still want a batcher go on. Their claims end
+// with their own time limits.
+func (c *claimers) refuseStarts() {
+	go func() {
+		limit := time.NewTimer(claimLimit)
+		defer limit.Stop()
+		for {
+			select {
+			case <-c.start:
+			case <-limit.C:
+				return
+			}
+		}
+	}()
+}
+
+func (c *claimers) runBatcher(ctx context.Context, b *localBatcher) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-b.stop:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	_ = b.Run(ctx)
+}
+
+// review starts the batchers that are this node's to run, so that their
+// streams cover keys before the first of them comes, and ends the others.
+func (c *claimers) review(now time.Time) {
+	c.assign()
+	for p, members := range c.assigned.Load() {
+		if len(members) > 0 && members[0].ID == c.self {
+			c.batcher(p)
+		}
+	}
+	c.local.DeleteFunc(func(_ string, b *localBatcher) bool {
+		if now.UnixNano()-b.used.Load() < int64(batcherIdle) {
+			return false
+		}
+		b.stopOnce.Do(func() { close(b.stop) })
+		return true
+	})
+	c.failed.DeleteFunc(func(_ string, at time.Time) bool { return now.Sub(at) >= avoidFailed })
+}
+
+// claimAnswer and settleAnswer are the answers of a batcher on another node.
+type claimAnswer struct {
+	Verdict once.Verdict   `json:"verdict"`
+	Error   once.ErrorCode `json:"error,omitempty"`
+}
+
+type settleAnswer struct {
+	Error once.ErrorCode `json:"error,omitempty"`
+}
+
+// remoteBatcher reaches a batcher on another node.
+type remoteBatcher struct {
+	*claimers
+	member membership.Member
+}
+
+// Claim implements once.Claimer.
+func (r *remoteBatcher) Claim(ctx context.Context, claim once.Claim) (once.Verdict, error) {
+	var out claimAnswer
+	if err := r.ask(ctx, r.pool.Claim, claim, &out); err != nil {
+		return once.Verdict{}, err
+	}
+	if out.Error != "" {
+		return once.Verdict{}, errors.WithStack(out.Error.Err())
+	}
+	return out.Verdict, nil
+}
+
+// Settle implements once.Claimer.
+func (r *remoteBatcher) Settle(ctx context.Context, s once.Settlement) error {
+	var out settleAnswer
+	if err := r.ask(ctx, r.pool.Settle, s, &out); err != nil {
+		return err
+	}
+	if out.Error != "" {
+		return errors.WithStack(out.Error.Err())
+	}
+	return nil
+}
+
+type sendFunc func(context.Context, membership.Member, json.RawMessage) (json.RawMessage, error)
+
+// ask sends a request. Without an answer the other node may have appended it,
+// so it is undecided, and the next try goes to another batcher.
+func (r *remoteBatcher) ask(ctx context.Context, send sendFunc, request, answer any) error {
+	data, err := json.Marshal(request)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "encode claim"), once.ErrUnavailable)
+	}
+	raw, err := send(ctx, r.member, data)
+	if err == nil {
+		err = json.Unmarshal(raw, answer)
+	}
+	if err != nil {
+		r.failed.Set(r.member.ID, time.Now())
+		return errors.Mark(errors.Wrap(err, "batcher"), once.ErrUndecided)
+	}
+	return nil
+}
+
+// serveClaim answers a claim of another node.
+func (c *claimers) serveClaim(ctx context.Context, raw json.RawMessage) (json.RawMessage, error) {
+	var claim once.Claim
+	if err := json.Unmarshal(raw, &claim); err != nil {
+		return nil, errors.Wrap(err, "decode claim")
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	v, err := c.batcher(claim.Key.Partition()).Claim(ctx, claim)
+	out := claimAnswer{Verdict: v}
+	if err != nil {
+		out.Error = once.CodeOf(err)
+	}
+	return json.Marshal(out)
+}
+
+// serveSettle answers a settlement of another node.
+func (c *claimers) serveSettle(ctx context.Context, raw json.RawMessage) (json.RawMessage, error) {
+	var s once.Settlement
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return nil, errors.Wrap(err, "decode settlement")
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	var out settleAnswer
+	if err := c.batcher(s.Key.Partition()).Settle(ctx, s); err != nil {
+		out.Error = once.CodeOf(err)
+	}
+	return json.Marshal(out)
+}
+
+// claimView is one batcher in the state dump.
+type claimView struct {
+	Stream string `json:"stream"`
+	Node   string `json:"node"`
+	Local  bool   `json:"local"`
+}
+
+func (c *claimers) views() []claimView {
+	var out []claimView
+	for p, members := range c.assigned.Load() {
+		v := claimView{Stream: once.Stream(p)}
+		if len(members) > 0 {
+			v.Node = members[0].ID
+		}
+		_, v.Local = c.local.Get(v.Stream)
+		out = append(out, v)
+	}
+	return out
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -21,9 +21,6 @@
 	server *peer.Server
 }
 
-// errNotHere answers methods whose part this build does not have.
-var errNotHere = errors.New("this node does not handle the method")
-
 // newAgent assembles the agent and the inner protocol, which need each other:
 // the pool tells the agent's entry, the server answers from its state.
 func (n *Node) newAgent(log platformlog.Log, self membership.Member) {
@@ -57,13 +54,13 @@
 func (h *peerHandler) Suspects(json.RawMessage) {}
 
 // Claim answers claims of keys.
-func (h *peerHandler) Claim(context.Context, json.RawMessage) (json.RawMessage, error) {
-	return nil, errNotHere
+func (h *peerHandler) Claim(ctx context.Context, claim json.RawMessage) (json.RawMessage, error) {
+	return h.node.calls.claims.serveClaim(ctx, claim)
 }
 
 // Settle takes outcomes of claimed calls.
-func (h *peerHandler) Settle(context.Context, json.RawMessage) (json.RawMessage, error) {
-	return nil, errNotHere
+func (h *peerHandler) Settle(ctx context.Context, outcome json.RawMessage) (json.RawMessage, error) {
+	return h.node.calls.claims.serveSettle(ctx, outcome)
 }
 
 // Drain starts the graceful end of the node.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/once"
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 )
@@ -128,7 +129,8 @@
 	}
 }
 
-// Init writes the genesis record of an empty log.
+// Init opens the streams of claims and writes the genesis record of an empty
+// log.
 func (c *Client) Init(ctx context.Context) error {
 	_, err := c.fold(ctx, nil)
 	if err == nil {
@@ -137,6 +139,9 @@
 	if !errors.Is(err, ErrNotInitialised) {
 		return err
 	}
+	if err := c.openClaims(ctx); err != nil {
+		return err
+	}
 	first, err := c.first(ctx)
 	if err != nil {
 		return err
@@ -145,6 +150,21 @@
 	return err
 }
 
+// openClaims writes a first record to each stream of claims, so that keys from
+// now on are covered. Another one in a stream is harmless.
+func (c *Client) openClaims(ctx context.Context) error {
+	for p := range once.Partitions {
+		data, err := once.Opening(c.newID())
+		if err != nil {
+			return err
+		}
+		if _, err := c.log.Append(ctx, once.Stream(p), data); err != nil {
+			return errors.Wrap(err, "open the streams of claims")
+		}
+	}
+	return nil
+}
+
 // append writes a record with a fresh id and returns it as written.
 func (c *Client) append(ctx context.Context, known int64, rec profile.Record) (profile.Record, error) {
 	rec.ID, rec.Schema, rec.Author, rec.Time = c.newID(), profile.SchemaVersion, c.author, c.now().UTC()
