Hand a claim over when its holder did not run the call

Cause: with one backend server dead, keyed calls failed with 503: the node beside it claimed the key, could not connect, and the retry on another node lost the claim until the release was in the log. Other retries failed for want of budget, although the first attempt had reached no backend server. Change: the holder that gave its claim up writes the release when another node asks (Coordinator.Surrender), and that node claims anew, at most 3 times. Retries after connect_failed and draining cost no budget.

--- a/internal/once/coordinator.go
+++ b/internal/once/coordinator.go
@@ -44,6 +44,7 @@
 	Kind   Kind
 	Run    *Run   // for run and joined
 	Holder Holder // for elsewhere
+	Claim  string // for elsewhere: id of the holder's claim
 	Ran    bool   // for elsewhere: the log says that the call ran
 	Status int    // of the answer when it ran
 	Reason Reason // for unknown and refused
@@ -175,14 +176,20 @@
 	if v.State == StateReleased {
 		return true
 	}
-	if v.State != StateRunning || v.Holder != c.cfg.Self || !c.ledger.Abandoned(v.ClaimID) {
+	return v.State == StateRunning && v.Holder == c.cfg.Self && c.Surrender(ctx, run.Key, v.ClaimID)
+}
+
+// Surrender opens a key to other claims when this node gave its own claim up.
+// It reports whether it did and the release is in the log.
+func (c *Coordinator) Surrender(ctx context.Context, key Key, claimID string) bool {
+	if !c.ledger.Abandoned(claimID) {
 		return false
 	}
-	to, err := c.cfg.Reach(run.Key.Partition())
+	to, err := c.cfg.Reach(key.Partition())
 	if err != nil {
 		return false
 	}
-	s := Settlement{ClaimID: v.ClaimID, Key: run.Key, Holder: c.cfg.Self, State: StateReleased}
+	s := Settlement{ClaimID: claimID, Key: key, Holder: c.cfg.Self, State: StateReleased}
 	return to.Settle(ctx, s) == nil
 }
 
@@ -197,7 +204,7 @@
 	default:
 		return Decision{Kind: KindUnknown, Reason: ReasonHistoryLost}
 	}
-	d := Decision{Kind: KindElsewhere, Holder: v.Holder, Ran: v.State == StateRan, Status: v.Status}
+	d := Decision{Kind: KindElsewhere, Holder: v.Holder, Claim: v.ClaimID, Ran: v.State == StateRan, Status: v.Status}
 	if v.Holder.Node == c.cfg.Self.Node {
 		return d.WithoutHolder() // a former life of this node, or its answer is not kept
 	}
--- a/internal/proxy/guard.go
+++ b/internal/proxy/guard.go
@@ -97,6 +97,9 @@
 	early    *earlyHints
 	fp       quarantine.Fingerprint
 	news     []quarantine.Entry // to be told in the answer
+
+	key       once.Key // of a call that must run at most once
+	handovers int      // claims after a holder gave its own up
 }
 
 func (g *Guard) newVisit(w http.ResponseWriter, r *http.Request, rc *http.ResponseController) *visit {
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -23,7 +23,7 @@
 	HeaderKeyCaller    = "Idempotency-Key"       // the idempotency key from callers
 	HeaderOnce         = "Goldcrest-Once"        // between nodes: run at most once under the key; the value is the form of keys
 	HeaderRepeat       = "Goldcrest-Repeat"      // between nodes: the call may run more than once
-	HeaderHeld         = "Goldcrest-Held"        // between nodes: the call was sent on to the holder of its key
+	HeaderHeld         = "Goldcrest-Held"        // between nodes: id of the claim whose holder the call is sent on to
 	HeaderCall         = "Goldcrest-Call"        // between nodes: a mark that the answer repeats
 	HeaderLoad         = "Goldcrest-Load"        // between nodes: load report of the backend server
 	HeaderQuarantine   = "Goldcrest-Quarantine"  // between nodes: news of quarantine
@@ -46,6 +46,7 @@
 	ReasonNoBackend      = "no_backend"
 	ReasonDraining       = "draining"
 	ReasonConnect        = "connect_failed"
+	ReasonReleased       = "claim_released" // between nodes only
 	ReasonCut            = "connection_cut"
 	ReasonNotReady       = "not_ready"
 	ReasonTooManyHop     = "too_many_hops"
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -34,6 +34,12 @@
 	}
 	ctx, cancel := context.WithDeadline(v.ctx, v.deadline)
 	defer cancel()
+	v.key = key
+	claim := v.r.Header.Get(HeaderHeld)
+	if claim != "" && v.guard.cfg.Once.Surrender(ctx, key, claim) {
+		v.fail(notRun(http.StatusServiceUnavailable, ReasonReleased, "the claim on the idempotency key was given up"))
+		return
+	}
 	v.follow(ctx, v.guard.cfg.Once.Begin(ctx, key, now))
 }
 
@@ -45,7 +51,7 @@
 	case once.KindJoined:
 		v.join(ctx, d.Run)
 	case once.KindElsewhere:
-		v.sendToHolder(d)
+		v.sendToHolder(ctx, d)
 	case once.KindRan:
 		v.fail(ranBefore(d.Status, d.Reason))
 	case once.KindRefused:
@@ -206,18 +212,28 @@
 	_, _ = v.w.Write(a.Body)
 }
 
+// maxHandovers bounds the claims that this node makes anew after the holder
+// of a key gave its claim up.
+const maxHandovers = 3
+
 // sendToHolder sends the call on to the node that holds its key, which gives
-// the answer of its run. When that node is gone, the log's word is all that is
-// left.
-func (v *visit) sendToHolder(d once.Decision) {
+// the answer of its run. When that node did not run it, the key is claimed
+// here; when it is gone, the log's word is all that is left.
+func (v *visit) sendToHolder(ctx context.Context, d once.Decision) {
 	address, ok := v.guard.cfg.GuardOf(d.Holder)
 	if !ok || v.r.Header.Get(HeaderHeld) != "" {
-		v.follow(v.ctx, d.WithoutHolder())
+		v.follow(ctx, d.WithoutHolder())
 		return
 	}
-	a, ok := v.askHolder(address)
+	a, ok := v.askHolder(address, d.Claim)
 	if !ok {
-		v.follow(v.ctx, d.WithoutHolder())
+		v.follow(ctx, d.WithoutHolder())
+		return
+	}
+	if Outcome(a.Header.Get(HeaderOutcome)) == OutcomeNotRun && v.handovers < maxHandovers {
+		a.Close()
+		v.handovers++
+		v.follow(ctx, v.guard.cfg.Once.Begin(ctx, v.key, time.Now()))
 		return
 	}
 	defer a.Close()
@@ -229,7 +245,7 @@
 	}
 }
 
-func (v *visit) askHolder(address string) (*answer, bool) {
+func (v *visit) askHolder(address, claim string) (*answer, bool) {
 	for _, fresh := range []bool{false, true} {
 		left := time.Until(v.deadline)
 		if left < leastAttempt || !v.body.resendable() {
@@ -237,7 +253,7 @@
 		}
 		header := requestHeader(v.r)
 		mark := strconv.FormatUint(rand.Uint64(), 36)
-		header[HeaderHeld] = []string{"1"}
+		header[HeaderHeld] = []string{claim}
 		header[HeaderCall] = []string{mark}
 		header[HeaderDeadlineMs] = []string{formatDeadline(left)}
 		a, err := v.guard.cfg.Peers.send(v.ctx, sending{address: address, in: v.r, header: header, body: v.body, wait: left, fresh: fresh})
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -99,7 +99,7 @@
 		return false // no server can do better with a broken body
 	}
 	d := retry.Decide(c.describe(t))
-	if d.Verdict == retry.TryNext && !c.spend() {
+	if d.Verdict == retry.TryNext && !d.Free && !c.spend() {
 		d.Verdict = retry.GiveUp
 	}
 	t.exhausted = d.Verdict == retry.GiveUp
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -3,7 +3,8 @@
 // call is hedged. It does no I/O and reads no clock.
 //
 // A node records each call with Budgets.Call. When an attempt ends without an
-// answer to pass on, it asks Decide, and for TryNext also Budgets.Spend; if
+// answer to pass on, it asks Decide, and for a TryNext that is not free also
+// Budgets.Spend; if
 // either says no, it answers with ReasonExhausted, but for PassOn as it is. A
 // hedge is sent after Latencies.HedgeAfter, if Budgets.Spend allows it.
 package retry
@@ -39,6 +40,12 @@
 	"key_refused":     true,
 }
 
+// unreachedReasons are refusals of a node whose backend server takes no calls.
+var unreachedReasons = map[string]bool{
+	"connect_failed": true,
+	"draining":       true,
+}
+
 // maxAnswerHops is how many nodes below this one an answer may have passed
 // through and still be retried here: the one beside the backend server.
 const maxAnswerHops = 1
@@ -80,6 +87,9 @@
 type Decision struct {
 	Verdict Verdict
 	Rule    string // name of the rule, for logs and counters
+	// Free means that the retry needs no budget: the attempt reached no backend
+	// server, so that sending the call to one is no additional load.
+	Free bool
 }
 
 type rule struct {
@@ -104,17 +114,22 @@
 	{"retry", func(Attempt) bool { return true }, TryNext},
 }
 
-// Decide applies the rules to an attempt. A retry also needs Budgets.Spend;
-// when that refuses, the node acts as for GiveUp.
+// Decide applies the rules to an attempt. A retry that is not free also needs
+// Budgets.Spend; when that refuses, the node acts as for GiveUp.
 func Decide(a Attempt) Decision {
 	for _, r := range rules {
 		if r.applies(a) {
-			return Decision{Verdict: r.verdict, Rule: r.name}
+			return Decision{Verdict: r.verdict, Rule: r.name, Free: r.verdict == TryNext && a.unreached()}
 		}
 	}
 	return Decision{Verdict: PassOn}
 }
 
+// unreached reports whether no backend server got a part of the attempt.
+func (a Attempt) unreached() bool {
+	return a.Outcome == NotRun && unreachedReasons[a.Reason]
+}
+
 func (a Attempt) succeeded() bool {
 	return a.Outcome == Ran && a.Status < http.StatusInternalServerError
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -20,24 +20,24 @@
 		edit func(*Attempt)
 		want Decision
 	}{
-		{"idempotent, answer lost", func(a *Attempt) {}, Decision{TryNext, "retry"}},
-		{"idempotent, 500", func(a *Attempt) { a.Outcome, a.Status = Ran, 500 }, Decision{TryNext, "retry"}},
-		{"idempotent, refused", func(a *Attempt) { a.Outcome, a.Reason, a.Status = NotRun, "overloaded", 503 }, Decision{TryNext, "retry"}},
-		{"not idempotent, refused", func(a *Attempt) { a.Idempotent, a.Outcome, a.Reason = false, NotRun, "draining" }, Decision{TryNext, "retry"}},
-		{"not idempotent, answer lost", func(a *Attempt) { a.Idempotent = false }, Decision{PassOn, "may_have_run"}},
-		{"not idempotent, 503 of the server", func(a *Attempt) { a.Idempotent, a.Outcome, a.Status = false, Ran, 503 }, Decision{PassOn, "may_have_run"}},
-		{"answered", func(a *Attempt) { a.Outcome, a.Status = Ran, 404 }, Decision{PassOn, "success"}},
-		{"status that stays", func(a *Attempt) { a.Outcome, a.Status = Ran, 501 }, Decision{PassOn, "final_status"}},
-		{"502 of the server", func(a *Attempt) { a.Outcome, a.Status = Ran, 502 }, Decision{PassOn, "final_status"}},
-		{"caller gone", func(a *Attempt) { a.Canceled = true }, Decision{PassOn, "caller_gone"}},
-		{"part of the answer delivered", func(a *Attempt) { a.Streaming = true }, Decision{PassOn, "answer_begun"}},
-		{"retried by the layer below", func(a *Attempt) { a.Outcome, a.Reason, a.Status = Ran, ReasonExhausted, 503 }, Decision{PassOn, "retried_below"}},
-		{"failed two nodes below", func(a *Attempt) { a.AnswerHops = 2 }, Decision{PassOn, "failed_far_below"}},
-		{"quarantined", func(a *Attempt) { a.Outcome, a.Reason = NotRun, "quarantined" }, Decision{PassOn, "final_reason"}},
-		{"body not kept", func(a *Attempt) { a.BodyLost = true }, Decision{GiveUp, "body_lost"}},
-		{"last try", func(a *Attempt) { a.Tries = 3 }, Decision{GiveUp, "tries_used"}},
-		{"no time", func(a *Attempt) { a.Remaining = a.Needed }, Decision{GiveUp, "no_time_left"}},
-		{"deadline over", func(a *Attempt) { a.Remaining, a.Needed = -time.Second, 0 }, Decision{GiveUp, "no_time_left"}},
+		{"idempotent, answer lost", func(a *Attempt) {}, Decision{Verdict: TryNext, Rule: "retry"}},
+		{"idempotent, 500", func(a *Attempt) { a.Outcome, a.Status = Ran, 500 }, Decision{Verdict: TryNext, Rule: "retry"}},
+		{"idempotent, refused", func(a *Attempt) { a.Outcome, a.Reason, a.Status = NotRun, "overloaded", 503 }, Decision{Verdict: TryNext, Rule: "retry"}},
+		{"not idempotent, refused", func(a *Attempt) { a.Idempotent, a.Outcome, a.Reason = false, NotRun, "draining" }, Decision{Verdict: TryNext, Rule: "retry"}},
+		{"not idempotent, answer lost", func(a *Attempt) { a.Idempotent = false }, Decision{Verdict: PassOn, Rule: "may_have_run"}},
+		{"not idempotent, 503 of the server", func(a *Attempt) { a.Idempotent, a.Outcome, a.Status = false, Ran, 503 }, Decision{Verdict: PassOn, Rule: "may_have_run"}},
+		{"answered", func(a *Attempt) { a.Outcome, a.Status = Ran, 404 }, Decision{Verdict: PassOn, Rule: "success"}},
+		{"status that stays", func(a *Attempt) { a.Outcome, a.Status = Ran, 501 }, Decision{Verdict: PassOn, Rule: "final_status"}},
+		{"502 of the server", func(a *Attempt) { a.Outcome, a.Status = Ran, 502 }, Decision{Verdict: PassOn, Rule: "final_status"}},
+		{"caller gone", func(a *Attempt) { a.Canceled = true }, Decision{Verdict: PassOn, Rule: "caller_gone"}},
+		{"part of the answer delivered", func(a *Attempt) { a.Streaming = true }, Decision{Verdict: PassOn, Rule: "answer_begun"}},
+		{"retried by the layer below", func(a *Attempt) { a.Outcome, a.Reason, a.Status = Ran, ReasonExhausted, 503 }, Decision{Verdict: PassOn, Rule: "retried_below"}},
+		{"failed two nodes below", func(a *Attempt) { a.AnswerHops = 2 }, Decision{Verdict: PassOn, Rule: "failed_far_below"}},
+		{"quarantined", func(a *Attempt) { a.Outcome, a.Reason = NotRun, "quarantined" }, Decision{Verdict: PassOn, Rule: "final_reason"}},
+		{"body not kept", func(a *Attempt) { a.BodyLost = true }, Decision{Verdict: GiveUp, Rule: "body_lost"}},
+		{"last try", func(a *Attempt) { a.Tries = 3 }, Decision{Verdict: GiveUp, Rule: "tries_used"}},
+		{"no time", func(a *Attempt) { a.Remaining = a.Needed }, Decision{Verdict: GiveUp, Rule: "no_time_left"}},
+		{"deadline over", func(a *Attempt) { a.Remaining, a.Needed = -time.Second, 0 }, Decision{Verdict: GiveUp, Rule: "no_time_left"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -181,3 +181,24 @@
 	}
 	assert.Assert(t, spent > 0 && spent <= 5*callsPerSecond/10, "%d", spent)
 }
+
+// TestUnreachedAttemptsAreFree guards against callers who lose calls to one
+// dead backend server because the budget is spent, and against free retries
+// of calls that a backend server got.
+func TestUnreachedAttemptsAreFree(t *testing.T) {
+	for _, tc := range []struct {
+		outcome Outcome
+		reason  string
+		free    bool
+	}{
+		{NotRun, "connect_failed", true},
+		{NotRun, "draining", true},
+		{NotRun, "overloaded", false},
+		{Unknown, "connect_failed", false},
+		{Unknown, "", false},
+	} {
+		d := Decide(Attempt{Idempotent: true, Outcome: tc.outcome, Reason: tc.reason, Tries: 1, MaxRetries: 1, Remaining: time.Second})
+		assert.Equal(t, d.Verdict, TryNext, "%+v", tc)
+		assert.Equal(t, d.Free, tc.free, "%+v", tc)
+	}
+}
