--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -23,7 +23,7 @@
 		{"idempotent, answer lost", func(a *Attempt) {}, Decision{Verdict: TryNext, Rule: "retry"}},
 		{"idempotent, 500", func(a *Attempt) { a.Outcome, a.Status = Ran, 500 }, Decision{Verdict: TryNext, Rule: "retry"}},
 		{"idempotent, refused", func(a *Attempt) { a.Outcome, a.Reason, a.Status = NotRun, "overloaded", 503 }, Decision{Verdict: TryNext, Rule: "retry"}},
-		{"not idempotent, refused", func(a *Attempt) { a.Idempotent, a.Outcome, a.Reason = false, NotRun, "draining" }, Decision{Verdict: TryNext, Rule: "retry"}},
+		{"not idempotent, refused", func(a *Attempt) { a.Idempotent, a.Outcome, a.Reason = false, NotRun, "draining" }, Decision{Verdict: TryNext, Rule: "retry", Free: true}},
 		{"not idempotent, answer lost", func(a *Attempt) { a.Idempotent = false }, Decision{Verdict: PassOn, Rule: "may_have_run"}},
 		{"not idempotent, 503 of the server", func(a *Attempt) { a.Idempotent, a.Outcome, a.Status = false, Ran, 503 }, Decision{Verdict: PassOn, Rule: "may_have_run"}},
 		{"answered", func(a *Attempt) { a.Outcome, a.Status = Ran, 404 }, Decision{Verdict: PassOn, Rule: "success"}},
