Keep the whole state small enough for one checkpoint

Cause: a state is saved by writing it as one record of at most 1 MB. Large documents, or 64 refused changes with thousands of findings each, could make a checkpoint that the log does not take; the state would then be lost when its records expire.

Change: a change is refused when documents and tombstones would take over 512 KiB; retirements pass. A refusal keeps about 4 KiB of its findings and counts the rest. Ids have 1 to 64 letters, digits and -_., authors at most 128 bytes.

Proof: TestStateFitsIntoACheckpoint failed without the limit on the state and without the limit on refusals (3048217 bytes), TestRetirementPassesTheSizeLimit without the exemption. The characters of ids have no test of their own.

--- a/internal/profile/change.go
+++ b/internal/profile/change.go
@@ -38,7 +38,7 @@
 	if len(found) > 0 {
 		return found
 	}
-	return c.checkReferences()
+	return append(c.checkReferences(), c.checkSize()...)
 }
 
 func (c *change) edit(i int, e Edit) finding.List {
--- a/internal/profile/fold.go
+++ b/internal/profile/fold.go
@@ -137,8 +137,8 @@
 	if err := json.Unmarshal(data, &rec); err != nil {
 		return Record{}, err
 	}
-	if rec.ID == "" {
-		return Record{}, errors.New("record without id")
+	if err := checkSigned(rec); err != nil {
+		return Record{}, err
 	}
 	if rec.Kind != RecordCheckpoint {
 		return rec, nil
@@ -274,10 +274,10 @@
 }
 
 func (f *Fold) refuse(r reading, conflict bool, found finding.List) Verdict {
-	refusal := Refusal{
+	refusal := bounded(Refusal{
 		RecordID: r.rec.ID, Author: r.rec.Author, Time: r.rec.Time, Keys: r.rec.keys(), Conflict: conflict, Findings: found,
 		Position: Position{Era: f.state.Position.Era, Offset: r.offset},
-	}
+	})
 	f.state.Refused = lastOf(append(slices.Clone(f.state.Refused), refusal), maxRefused)
 	return Verdict{Outcome: OutcomeRefused, Refusal: &refusal}
 }
--- /dev/null
+++ b/internal/profile/limits_test.go
@@ -0,0 +1,67 @@
+package profile
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// recordLimit is what the log takes in one record.
+const recordLimit = 1 << 20
+
+func applyEdits(t *testing.T, f *Fold, id string, edits ...Edit) Verdict {
+	data, err := json.Marshal(Record{ID: id, Kind: RecordChange, Author: strings.Repeat("a", maxAuthorBytes), Edits: edits})
+	assert.NilError(t, err)
+	return f.Apply(f.Next(), data)
+}
+
+func publishEdit(kind, name, document string) Edit {
+	return Edit{Op: OpPublish, Key: Key{Kind: kind, Name: name}, Document: json.RawMessage(document)}
+}
+
+// Guards against a state that no longer fits into a checkpoint, and would so
+// be lost with the log's retention: by large documents, or by refused changes
+// with many and long findings.
+func TestStateFitsIntoACheckpoint(t *testing.T) {
+	f := foldRecords(0, genesisText)
+	accepted := 0
+	for i := range 40 {
+		name := fmt.Sprint("p-", i)
+		routes := strings.Repeat(`{"name":"r","service":"a","pathPrefix":"/`+strings.Repeat("x", 200)+`"},`, 150)
+		for n := range 150 {
+			routes = strings.Replace(routes, `"r"`, fmt.Sprintf(`"r%d"`, n), 1)
+		}
+		v := applyEdits(t, f, fmt.Sprint(i), publishEdit(KindProfile, name, `{"kind":"profile","name":"`+name+`","routes":[`+strings.TrimSuffix(routes, ",")+`]}`))
+		if v.Outcome == OutcomeAccepted {
+			accepted++
+		}
+	}
+	assert.Assert(t, accepted > 5 && accepted < 40, "%d accepted", accepted)
+	for i := range maxRecent + 10 {
+		fields := ""
+		if i > maxRecent-maxRefused {
+			fields = strings.Repeat(`"`+strings.Repeat("<", 300)+`":1,`, 20)
+		}
+		v := applyEdits(t, f, fmt.Sprintf("%064d", i), publishEdit(KindProfile, "x", `{`+fields+`"kind":"profile"}`))
+		assert.Equal(t, v.Outcome, OutcomeRefused)
+	}
+	data, err := json.Marshal(Record{ID: "k", Kind: RecordCheckpoint, Checkpoint: CheckpointOf(f.State())})
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < recordLimit, "%d bytes", len(data))
+}
+
+// Guards the way back from a configuration that is too large.
+func TestRetirementPassesTheSizeLimit(t *testing.T) {
+	entries := []string{}
+	for i := range 2000 {
+		entries = append(entries, strings.ReplaceAll(agendaEntry(1, 1), `"agenda"`, fmt.Sprintf(`"a%d"`, i)))
+	}
+	f := foldRecords(0, checkpointText("k", 2, -1, "", strings.Join(entries, ",")))
+	retire := Edit{Op: OpRetire, Key: Key{Kind: KindProfile, Name: "a1"}, Base: &Version{Era: 1, Number: 1}}
+	more := publishEdit(KindProfile, "agenda", string(profileText("agenda", 1)))
+	assert.Equal(t, applyEdits(t, f, "1", more).Outcome, OutcomeRefused)
+	assert.Equal(t, applyEdits(t, f, "2", retire).Outcome, OutcomeAccepted)
+}
