Let the log stand-in script its faults

Cause: the tests of the writer, of Submit and of the session each wrapped the log to fail right after an append; over HTTP this could not be done.

Change: the stand-in drops appends, applies lost ones late, spares reads, and changes its faults after the next append (then).

--- a/internal/standin/log_contract_test.go
+++ b/internal/standin/log_contract_test.go
@@ -97,6 +97,14 @@
 		appendAll(t, s.log, "b")
 		assert.Equal(t, readAll(t, s.log, 0), "0a 1b")
 	}},
+	{"an append that is dropped, and the faults after it", func(t *testing.T, s subject, _ *manualClock) {
+		s.faults(standin.LogFaults{DropAppends: 1, Then: &standin.LogFaults{Down: true, AppendsOnly: true}})
+		_, err := s.log.Append(t.Context(), stream, []byte("a"))
+		assert.Assert(t, errors.Is(err, platformlog.ErrUnknown), "%v", err)
+		_, err = s.log.Append(t.Context(), stream, []byte("b"))
+		assert.Assert(t, errors.Is(err, platformlog.ErrNotApplied), "%v", err)
+		assert.Equal(t, readAll(t, s.log, 0), "")
+	}},
 	{"a slow append is applied after its caller gave up", func(t *testing.T, s subject, _ *manualClock) {
 		assert.Equal(t, readAll(t, s.log, 0), "") // opens the connection
 		s.faults(standin.LogFaults{SlowMs: 600})
