Report the outcome when an operator interrupts a command

Cause: a signal ended a command that waited for the log without a word, although the change may have been sent.

Change: commands that use the log end their context with SIGINT and SIGTERM and report code 1 or 4 as usual. The dev commands keep their own handler.

Proof (by hand, with dev log): SIGTERM after a lost answer and an outage: "its outcome is unknown", exit 4; SIGINT while the log is down: exit 1. No test sends signals.

--- a/cmd/goldcrestctl/diff.go
+++ b/cmd/goldcrestctl/diff.go
@@ -40,7 +40,7 @@
 	var f logFlags
 	cmd := &cobra.Command{
 		Use: "diff NAME V1 V2 | diff FILE...", Short: "Show how two versions differ, or files and what is in force", Long: diffHelp, Args: usage(cobra.MinimumNArgs(1)),
-		RunE: f.run(func(cmd *cobra.Command, args []string) (result, error) {
+		RunE: c.run(&f, func(cmd *cobra.Command, args []string) (result, error) {
 			if len(args) == 3 && isVersion(args[1]) && isVersion(args[2]) {
 				return c.diffVersions(cmd, &f, args[0], args[1], args[2])
 			}
--- a/cmd/goldcrestctl/logflags.go
+++ b/cmd/goldcrestctl/logflags.go
@@ -41,8 +41,11 @@
 }
 
 // run makes a command's function of one that returns a result to print.
-func (f *logFlags) run(run func(cmd *cobra.Command, args []string) (result, error)) func(*cobra.Command, []string) error {
+func (c *cli) run(f *logFlags, run func(cmd *cobra.Command, args []string) (result, error)) func(*cobra.Command, []string) error {
 	return func(cmd *cobra.Command, args []string) error {
+		ctx, stop := c.interrupt(cmd.Context())
+		defer stop()
+		cmd.SetContext(ctx)
 		r, err := run(cmd, args)
 		return f.output.print(cmd.OutOrStdout(), r, err)
 	}
--- a/cmd/goldcrestctl/main.go
+++ b/cmd/goldcrestctl/main.go
@@ -2,9 +2,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +21,9 @@
 	c := &cli{
 		now: time.Now, newID: uuid.NewString,
 		dial: func(address string) platformlog.Log { return platformlog.NewClient(address, nil) },
+		interrupt: func(ctx context.Context) (context.Context, context.CancelFunc) {
+			return signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+		},
 	}
 	os.Exit(c.execute(os.Args[1:], os.Stdout, os.Stderr))
 }
@@ -27,6 +33,9 @@
 	now   func() time.Time
 	newID func() string
 	dial  func(address string) platformlog.Log
+	// interrupt returns a context that ends with the operator's signal, so
+	// that a command that waits for the log still reports its outcome.
+	interrupt func(context.Context) (context.Context, context.CancelFunc)
 }
 
 // execute runs one command line and returns its exit code.
--- a/cmd/goldcrestctl/publish.go
+++ b/cmd/goldcrestctl/publish.go
@@ -68,7 +68,7 @@
 		Use: "init", Short: "Start an empty configuration on an empty log", Args: usage(cobra.NoArgs),
 		Long: `Start an empty configuration on an empty log. This is done once in the life of a system: when a log was
 lost or restarted, the nodes write what they hold into the new one, and init must not be run again.`,
-		RunE: f.run(func(cmd *cobra.Command, _ []string) (result, error) {
+		RunE: c.run(&f, func(cmd *cobra.Command, _ []string) (result, error) {
 			return initResult{Initialised: true}, c.client(&f).Init(cmd.Context())
 		}),
 	}
@@ -88,7 +88,7 @@
 	var prune bool
 	cmd := &cobra.Command{
 		Use: "publish FILE...|DIR...", Short: "Publish or revise documents, all or none", Long: publishHelp, Args: usage(cobra.MinimumNArgs(1)),
-		RunE: f.run(func(cmd *cobra.Command, paths []string) (result, error) {
+		RunE: c.run(&f, func(cmd *cobra.Command, paths []string) (result, error) {
 			set, err := readDocuments(paths)
 			if err != nil {
 				return nil, err
@@ -124,7 +124,7 @@
 	var base string
 	cmd := &cobra.Command{
 		Use: "revise FILE...", Short: "Revise documents that are in force", Long: reviseHelp, Args: usage(cobra.MinimumNArgs(1)),
-		RunE: f.run(func(cmd *cobra.Command, paths []string) (result, error) {
+		RunE: c.run(&f, func(cmd *cobra.Command, paths []string) (result, error) {
 			set, err := readDocuments(paths)
 			if err != nil {
 				return nil, err
@@ -168,7 +168,7 @@
 	cmd := &cobra.Command{
 		Use: "retire NAME", Short: "Retire a profile, or a selection as selection/SERVICE", Args: usage(cobra.ExactArgs(1)),
 		ValidArgsFunction: c.completeNames(&f),
-		RunE: f.run(func(cmd *cobra.Command, args []string) (result, error) {
+		RunE: c.run(&f, func(cmd *cobra.Command, args []string) (result, error) {
 			key, err := profile.ParseKey(args[0])
 			if err != nil {
 				return nil, usageError(err)
--- a/cmd/goldcrestctl/session_test.go
+++ b/cmd/goldcrestctl/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -35,6 +36,8 @@
 		now:   func() time.Time { s.minutes++; return time.Date(2026, 3, 2, 9, s.minutes, 0, 0, time.UTC) },
 		newID: func() string { s.ids++; return fmt.Sprintf("id-%d", s.ids) },
 		dial:  func(string) platformlog.Log { return s.log.Direct() },
+
+		interrupt: context.WithCancel,
 	}
 	return s
 }
--- a/cmd/goldcrestctl/show.go
+++ b/cmd/goldcrestctl/show.go
@@ -63,7 +63,7 @@
 	var f logFlags
 	cmd := &cobra.Command{
 		Use: "list", Short: "List the documents in force and the latest refused changes", Args: usage(cobra.NoArgs),
-		RunE: f.run(func(cmd *cobra.Command, _ []string) (result, error) {
+		RunE: c.run(&f, func(cmd *cobra.Command, _ []string) (result, error) {
 			s, err := c.client(&f).State(cmd.Context())
 			if err != nil {
 				return nil, err
@@ -110,7 +110,7 @@
 	cmd := &cobra.Command{
 		Use: "show NAME", Short: "Show a profile, or a selection as selection/SERVICE", Args: usage(cobra.ExactArgs(1)),
 		ValidArgsFunction: c.completeNames(&f),
-		RunE: f.run(func(cmd *cobra.Command, args []string) (result, error) {
+		RunE: c.run(&f, func(cmd *cobra.Command, args []string) (result, error) {
 			e, err := c.find(cmd, &f, args[0], version)
 			return showResult{e}, err
 		}),
@@ -179,7 +179,7 @@
 		Use: "history NAME", Short: "List accepted versions and refused changes of a document", Args: usage(cobra.ExactArgs(1)),
 		Long:              "List accepted versions and refused changes of a document, as far back as the log holds them, oldest first.",
 		ValidArgsFunction: c.completeNames(&f),
-		RunE: f.run(func(cmd *cobra.Command, args []string) (result, error) {
+		RunE: c.run(&f, func(cmd *cobra.Command, args []string) (result, error) {
 			key, err := profile.ParseKey(args[0])
 			if err != nil {
 				return nil, usageError(err)
