Ask background calls to end before callers are shed

Change: once callers fill the queue, running background calls are asked to end through Ticket.Preempted; until they have, the queue may be twice as long. A slot stays in use until Leave.

--- a/bench/queue_server.go
+++ b/bench/queue_server.go
@@ -60,7 +60,7 @@
 	events     *queueEvents
 	gate       *admission.Gate
 	waiting    []waitingCall
-	background int // background calls that run
+	background map[*admission.Ticket]queueCall // background calls that run
 	done       func(queueEnd)
 }
 
@@ -69,11 +69,14 @@
 	ticket *admission.Ticket
 }
 
+// gateCancel is the time in which a cancellation frees the slot.
+const gateCancel = time.Millisecond
+
 // gateTick is how often the gate looks for work to shed.
 const gateTick = 10 * time.Millisecond
 
 func newGateServer(events *queueEvents, cfg admission.Config, done func(queueEnd)) *gateServer {
-	s := &gateServer{events: events, gate: admission.NewGate(cfg), done: done}
+	s := &gateServer{events: events, gate: admission.NewGate(cfg), done: done, background: map[*admission.Ticket]queueCall{}}
 	s.tick()
 	return s
 }
@@ -113,18 +116,44 @@
 		}
 	}
 	s.waiting = rest
+	s.cancel()
 }
 
 func (s *gateServer) start(c queueCall, t *admission.Ticket) {
-	s.background += int(c.priority)
+	if c.priority == admission.Background {
+		s.background[t] = c
+	}
 	s.events.after(c.work, func() {
-		s.background -= int(c.priority)
+		if _, runs := s.background[t]; c.priority == admission.Background && !runs {
+			return // it was cancelled
+		}
+		delete(s.background, t)
 		t.Leave(s.events.now, c.work, true)
 		s.done(queueEnd{queueCall: c, ran: true, at: s.events.now, duration: s.events.now.Sub(c.arrived)})
 		s.look()
 	})
 }
 
+// cancel ends the background calls that the gate asks to end.
+func (s *gateServer) cancel() {
+	for t := range s.background {
+		select {
+		case <-t.Preempted():
+			s.events.after(gateCancel, func() { s.cancelled(t) })
+		default:
+		}
+	}
+}
+
+func (s *gateServer) cancelled(t *admission.Ticket) {
+	if _, runs := s.background[t]; !runs {
+		return
+	}
+	delete(s.background, t)
+	t.Leave(s.events.now, 0, false)
+	s.look()
+}
+
 func (s *gateServer) refuse(c queueCall) {
-	s.done(queueEnd{queueCall: c, at: s.events.now, beside: s.background})
+	s.done(queueEnd{queueCall: c, at: s.events.now, beside: len(s.background)})
 }
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -37,12 +37,13 @@
 	classes *Classes
 
 	mu       sync.Mutex
-	queue    queue     // guarded by mu
-	inUse    [2][2]int // slots in use by priority and class; guarded by mu
-	demand   demand    // guarded by mu
-	pressure pressure  // guarded by mu
-	started  time.Time // when the backend server started; guarded by mu
-	draining bool      // guarded by mu
+	queue    queue                // guarded by mu
+	inUse    [2][2]int            // slots in use by priority and class; guarded by mu
+	demand   demand               // guarded by mu
+	pressure pressure             // guarded by mu
+	running  map[*Ticket]struct{} // background calls that were not asked to end; guarded by mu
+	started  time.Time            // when the backend server started; guarded by mu
+	draining bool                 // guarded by mu
 }
 
 // NewGate returns a Gate with all slots free.
@@ -58,7 +59,7 @@
 	if cfg.Classes == nil {
 		cfg.Classes = NewClasses()
 	}
-	return &Gate{cfg: cfg, classes: cfg.Classes}
+	return &Gate{cfg: cfg, classes: cfg.Classes, running: make(map[*Ticket]struct{})}
 }
 
 // Started notes that the backend server started or restarted, which begins
@@ -104,6 +105,8 @@
 		arrived:  now,
 		latest:   r.Deadline.Add(-times.expected(now)),
 		ready:    make(chan Decision, 1),
+
+		preempted: make(chan struct{}),
 	}
 }
 
@@ -139,6 +142,7 @@
 	if t.priority == Background || g.cfg.Queue == 0 {
 		return false
 	}
+	g.preemptLocked()
 	if g.queue.size < g.queueLimitLocked() {
 		return true
 	}
@@ -149,12 +153,12 @@
 	return true
 }
 
-// queueLimitLocked returns the bound on waiting callers. It is twice as high
-// while a background call still runs, since no caller's work is shed before
-// background work.
+// queueLimitLocked returns the bound on waiting callers. It is higher while a
+// background call still ends, since no caller's work is shed before background
+// work.
 func (g *Gate) queueLimitLocked() int {
 	if g.backgroundInUse() > 0 {
-		return 2 * g.cfg.Queue
+		return backgroundGrace * g.cfg.Queue
 	}
 	return g.cfg.Queue
 }
@@ -197,6 +201,7 @@
 	case stateRunning:
 		t.state = stateDone
 		g.inUse[t.priority][t.class]--
+		delete(g.running, t)
 		learned := ok && served > 0
 		if learned {
 			g.demand.complete(t.class, served)
@@ -232,6 +237,7 @@
 func (g *Gate) noteShedLocked(now time.Time, t *Ticket) {
 	if t.priority == Caller {
 		g.pressure.lastShed = now
+		g.preemptLocked()
 	}
 }
 
--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -11,6 +11,10 @@
 	// calmAfter is how long no caller may have waited before background work
 	// gets more than its share, so that it does not slip in between two calls.
 	calmAfter = 100 * time.Millisecond
+	// backgroundGrace is how many times longer the queue may be while background
+	// calls that began before a surge are cancelled: time for a cancellation to
+	// reach the backend server.
+	backgroundGrace = 2
 	// shedMemory is how long background work gets no slot after a caller's
 	// call was shed.
 	shedMemory = time.Second
@@ -32,6 +36,9 @@
 		g.queue.remove(t, now)
 		t.state = stateRunning
 		g.inUse[t.priority][t.class]++
+		if t.priority == Background {
+			g.running[t] = struct{}{}
+		}
 		t.ready <- Decision{Verdict: Admitted}
 	}
 	if g.queue.waiting(Caller) > 0 {
@@ -128,6 +135,14 @@
 	return limit
 }
 
+// preemptLocked asks the running background calls to end.
+func (g *Gate) preemptLocked() {
+	for t := range g.running {
+		close(t.preempted)
+		delete(g.running, t)
+	}
+}
+
 func (g *Gate) classInUse(c Class) int {
 	return g.inUse[Caller][c] + g.inUse[Background][c]
 }
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -95,6 +95,8 @@
 	latest   time.Time     // latest start that meets the deadline
 	ready    chan Decision // holds at most the one decision
 
+	preempted chan struct{} // closed when the call is asked to end
+
 	state ticketState // guarded by gate.mu
 	index int         // place in its line's heap; guarded by gate.mu
 	older *Ticket     // neighbours by arrival; guarded by gate.mu
@@ -110,6 +112,11 @@
 // that was admitted by Enter finds it there too.
 func (t *Ticket) Ready() <-chan Decision { return t.ready }
 
+// Preempted returns a channel that is closed when a running background call
+// should be cancelled, since callers would be shed otherwise. Its slot counts
+// as in use until Leave. A call that cannot be cancelled may ignore it.
+func (t *Ticket) Preempted() <-chan struct{} { return t.preempted }
+
 // Leave frees the slot or the place in the queue. served is the time that the
 // backend server took, 0 when the call was not sent; ok tells whether it is a
 // fair sample. Further calls and calls on a nil ticket have no effect.
