--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -196,7 +196,6 @@
 	case stateWaiting:
 		g.queue.remove(t, now)
 		t.state = stateDone
-		g.grantLocked(now)
 		return false
 	case stateRunning:
 		t.state = stateDone
--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -56,28 +56,17 @@
 	return nil
 }
 
-// pickOfLocked chooses between the short and the long call that are next. When
-// both may run, the class below its part of the slots goes first: short work
-// is owed the kept slots, long work all others, so neither can starve.
+// pickOfLocked chooses between the long and the short call that are next. Long
+// work goes first where it may run at all: the kept slots are closed to it, so
+// short work has those, and neither can starve.
 func (g *Gate) pickOfLocked(now time.Time, p Priority) *Ticket {
-	short, long := g.queue.next(p, Short, now), g.queue.next(p, Long, now)
-	if short != nil && !g.mayRunLocked(now, p, Short) {
-		short = nil
-	}
-	if long != nil && !g.mayRunLocked(now, p, Long) {
-		long = nil
-	}
-	switch {
-	case short == nil:
-		return long
-	case long == nil:
-		return short
-	}
-	limit := g.limitLocked(now)
-	if g.classInUse(Short) < g.keptLocked(now, limit) {
-		return short
+	for _, c := range []Class{Long, Short} {
+		t := g.queue.next(p, c, now)
+		if t != nil && g.mayRunLocked(now, p, c) {
+			return t
+		}
 	}
-	return long
+	return nil
 }
 
 // mayRunLocked reports whether the slots in use leave one for such a call.
