Refuse the newest at a full queue while deadlines are far

Cause: a full standing queue shed its oldest call for each new one, though with far deadlines the oldest is the one that is served next; it had waited for nothing, and the refusal came late. Change: the oldest is displaced only when it has less time left than it has waited; otherwise the newcomer is refused at once. The reader of claims asks for 100 records a read in place of 500, which could be 150 MB of full records. Each of the three conditions taken out made TestNewestDisplacesOldestInAStandingQueue fail.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -125,9 +125,10 @@
 }
 
 // roomLocked reports whether a call may enter, and makes room for it where it
-// has the better claim: a caller's call displaces a background one, and once
-// the queue stands the newest call displaces the oldest, which is the
-// likeliest to miss its deadline.
+// has the better claim: a caller's call displaces a background one, and in a
+// standing queue that costs deadlines the newest call displaces the oldest,
+// which is the likeliest to miss its own. Otherwise the newest is refused at
+// once, while it can still be tried elsewhere.
 func (g *Gate) roomLocked(now time.Time, t *Ticket) bool {
 	if g.queue.size < g.cfg.Queue || g.mayRunLocked(now, t.priority, t.class) {
 		return true
@@ -146,10 +147,11 @@
 	if g.queue.size < g.queueLimitLocked() {
 		return true
 	}
-	if !g.queue.standing(now) {
+	oldest := g.queue.oldest(Caller)
+	if !g.queue.standing(now) || !oldest.late(now) {
 		return false
 	}
-	g.shedLocked(now, g.queue.oldest(Caller), ReasonOverloaded)
+	g.shedLocked(now, oldest, ReasonOverloaded)
 	return true
 }
 
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -264,14 +264,22 @@
 func TestNewestDisplacesOldestInAStandingQueue(t *testing.T) {
 	g := NewGate(Config{Slots: 1, Queue: 2})
 	enter(g, 0, Request{})
-	first, _ := enter(g, 0, Request{})
+	first, _ := enter(g, 0, Request{Deadline: after(400 * ms)})
 	second, _ := enter(g, ms, Request{})
 	_, v := enter(g, 2*ms, Request{})
 	assert.Equal(t, v, Refused)
-	_, v = enter(g, standingAfter+2*ms, Request{})
+	_, v = enter(g, 150*ms, Request{}) // standing, but no deadline is near
+	assert.Equal(t, v, Refused)
+	_, v = enter(g, 250*ms, Request{})
 	assert.Equal(t, v, Queued)
 	assert.Equal(t, decided(first), Refused)
 	assert.Equal(t, decided(second), Queued)
+
+	g = NewGate(Config{Slots: 1, Queue: 1})
+	enter(g, 0, Request{})
+	enter(g, 0, Request{Deadline: after(100 * ms)})
+	_, v = enter(g, 60*ms, Request{}) // a deadline is near, but the queue is fresh
+	assert.Equal(t, v, Refused)
 }
 
 // Guards long work against a flood of short work that never leaves the queue
--- a/internal/once/reader.go
+++ b/internal/once/reader.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// readMax is the number of records asked for in one read.
-	readMax = 500
+	// readMax is the number of records asked for in one read, up to 30 MB of
+	// full ones.
+	readMax = 100
 	// maxRestarts bounds the restarts of one catch-up, so that a log that
 	// contradicts itself does not keep it going.
 	maxRestarts = 3
