--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -11,6 +11,10 @@
 	// calmAfter is how long no caller may have waited before background work
 	// gets more than its share, so that it does not slip in between two calls.
 	calmAfter = 100 * time.Millisecond
+	// backgroundGrace is how many times longer the queue may be while background
+	// calls that began before a surge are cancelled: time for a cancellation to
+	// reach the backend server.
+	backgroundGrace = 2
 	// shedMemory is how long background work gets no slot after a caller's
 	// call was shed.
 	shedMemory = time.Second
@@ -32,6 +36,9 @@
 		g.queue.remove(t, now)
 		t.state = stateRunning
 		g.inUse[t.priority][t.class]++
+		if t.priority == Background {
+			g.running[t] = struct{}{}
+		}
 		t.ready <- Decision{Verdict: Admitted}
 	}
 	if g.queue.waiting(Caller) > 0 {
@@ -49,28 +56,17 @@
 	return nil
 }
 
-// pickOfLocked chooses between the short and the long call that are next. When
-// both may run, the class below its part of the slots goes first: short work
-// is owed the kept slots, long work all others, so neither can starve.
+// pickOfLocked chooses between the long and the short call that are next. Long
+// work goes first where it may run at all: the kept slots are closed to it, so
+// short work has those, and neither can starve.
 func (g *Gate) pickOfLocked(now time.Time, p Priority) *Ticket {
-	short, long := g.queue.next(p, Short, now), g.queue.next(p, Long, now)
-	if short != nil && !g.mayRunLocked(now, p, Short) {
-		short = nil
-	}
-	if long != nil && !g.mayRunLocked(now, p, Long) {
-		long = nil
-	}
-	switch {
-	case short == nil:
-		return long
-	case long == nil:
-		return short
-	}
-	limit := g.limitLocked(now)
-	if g.classInUse(Short) < g.keptLocked(now, limit) {
-		return short
+	for _, c := range []Class{Long, Short} {
+		t := g.queue.next(p, c, now)
+		if t != nil && g.mayRunLocked(now, p, c) {
+			return t
+		}
 	}
-	return long
+	return nil
 }
 
 // mayRunLocked reports whether the slots in use leave one for such a call.
@@ -128,6 +124,14 @@
 	return limit
 }
 
+// preemptLocked asks the running background calls to end.
+func (g *Gate) preemptLocked() {
+	for t := range g.running {
+		close(t.preempted)
+		delete(g.running, t)
+	}
+}
+
 func (g *Gate) classInUse(c Class) int {
 	return g.inUse[Caller][c] + g.inUse[Background][c]
 }
