--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -42,7 +42,7 @@
 type conn struct {
 	nc     net.Conn
 	handle handleFunc
-	out    sync.Mutex // held for the write of one message, so that messages do not mix
+	out    chan struct{} // capacity 1: held for the write of one message, so that messages do not mix
 	done   chan struct{}
 	cancel context.CancelFunc
 	slots  chan struct{}
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	c := &conn{
 		nc: nc, handle: h, total: total, cancel: cancel,
-		done: make(chan struct{}), slots: make(chan struct{}, maxRequests), pending: map[uint64]chan frame{},
+		out: make(chan struct{}, 1), done: make(chan struct{}), slots: make(chan struct{}, maxRequests), pending: map[uint64]chan frame{},
 	}
 	context.AfterFunc(ctx, c.close)
 	go c.read(ctx)
@@ -98,9 +98,17 @@
 	return n, err
 }
 
-func (c *conn) send(f frame) error {
-	c.out.Lock()
-	defer c.out.Unlock()
+// send writes one message. A caller does not wait for the connection longer
+// than its context allows.
+func (c *conn) send(ctx context.Context, f frame) error {
+	select {
+	case c.out <- struct{}{}:
+	case <-c.done:
+		return errClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-c.out }()
 	err := writeFrame(c, f)
 	if err != nil && !errors.Is(err, errTooLarge) {
 		c.close() // part of the message may be on the wire
@@ -119,7 +127,7 @@
 		return errors.Wrap(err, method)
 	}
 	defer c.forget(id)
-	if err := c.send(frame{ID: &id, Method: method, Params: body}); err != nil {
+	if err := c.send(ctx, frame{ID: &id, Method: method, Params: body}); err != nil {
 		return errors.Wrap(err, method)
 	}
 	select {
@@ -161,12 +169,12 @@
 }
 
 // notify sends a request without an answer.
-func (c *conn) notify(method string, params any) error {
+func (c *conn) notify(ctx context.Context, method string, params any) error {
 	body, err := json.Marshal(params)
 	if err != nil {
 		return errors.Wrap(err, method)
 	}
-	return errors.Wrap(c.send(frame{Method: method, Params: body}), method)
+	return errors.Wrap(c.send(ctx, frame{Method: method, Params: body}), method)
 }
 
 func (c *conn) read(ctx context.Context) {
@@ -214,7 +222,7 @@
 	go func() {
 		defer func() { <-c.slots }()
 		result, err := c.handle(ctx, c, request{method: f.Method, params: f.Params})
-		_ = c.send(answerOf(f.ID, result, err))
+		_ = c.send(ctx, answerOf(f.ID, result, err))
 		if r, ok := result.(releaser); ok {
 			r.release()
 		}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -215,7 +215,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "%s to %s", method, m.ID)
 	}
-	return errors.Wrapf(c.notify(method, params), "node %s", m.ID)
+	return errors.Wrapf(c.notify(ctx, method, params), "node %s", m.ID)
 }
 
 // Heartbeat sends a sign of life.
