Prove the promises on calls against faults, in virtual time

Cause: the fault tables showed a panic of net/http's server after a refused call whose body was unread under full duplex, two sendings of each call to a server that loses every call, a header that waited for a slow small body past the time limit, keyed calls that ran as plain ones when the policy named no form of key, and a write that left nothing counted as sent. Change: full duplex only for bodies that stream, whose connection closes when the answer comes first; a budget for the guard's own resends; the header leaves after 1 ms without its body; a write of no byte is not sent.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -131,6 +131,13 @@
 	return b.owner == nil && b.end == io.EOF && len(b.piece) == 0
 }
 
+// ended reports whether the caller's body was read to its proper end.
+func (b *keptBody) ended() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.end == io.EOF
+}
+
 // failure returns the error with which the caller's body broke off, or nil.
 func (b *keptBody) failure() error {
 	if b == nil {
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -22,9 +22,18 @@
 	priorityBackground = "background"
 )
 
-// anyKeys is the value of HeaderOnce and of the policy that accepts every
-// form of key.
-const anyKeys = "any"
+// Values of HeaderOnce, which are those of the policy.
+const (
+	anyKeys  = "any"
+	uuidKeys = "uuidv7"
+)
+
+func keyForm(p *profile.Policy) string {
+	if p.Keys == anyKeys {
+		return anyKeys
+	}
+	return uuidKeys
+}
 
 // call is one call on its way through a Front.
 type call struct {
@@ -54,7 +63,7 @@
 	if text == "" || c.idempotent {
 		return nil
 	}
-	rule := once.KeyRule{Any: c.policy.Keys == anyKeys, Retention: c.front.cfg.Retention()}
+	rule := once.KeyRule{Any: keyForm(c.policy) == anyKeys, Retention: c.front.cfg.Retention()}
 	if _, refusal := once.ParseKey(text, rule, now); refusal != nil {
 		return notRun(http.StatusBadRequest, string(refusal.Reason), refusal.Message)
 	}
@@ -79,7 +88,7 @@
 		h[HeaderRepeat] = []string{"1"}
 	}
 	if c.once {
-		h[HeaderOnce] = []string{c.policy.Keys}
+		h[HeaderOnce] = []string{keyForm(c.policy)}
 	}
 	return h
 }
@@ -94,12 +103,12 @@
 
 // run sends the call until there is an answer to give.
 func (c *call) run(rc *http.ResponseController) {
-	if c.body.small() {
-		if err := c.body.take(rc, c.deadline); err != nil {
-			failureOf(&sendError{cause: err}, c.body).write(c.w)
-			return
-		}
+	var err error
+	if c.w, err = c.body.prepare(c.w, rc, c.deadline); err != nil {
+		failureOf(&sendError{cause: err}, c.body).write(c.w)
+		return
 	}
+	c.early = &earlyHints{w: c.w}
 	if refusal := c.checkQuarantine(); refusal != nil {
 		refusal.write(c.w)
 		return
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -161,7 +161,11 @@
 	if c.sealed.Load() {
 		return 0, errSealed
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if n == 0 && err != nil {
+		c.written.Add(-int64(len(p)))
+	}
+	return n, err
 }
 
 // Read implements net.Conn. Bytes that arrive on a reused connection before
--- /dev/null
+++ b/internal/proxy/fabric_test.go
@@ -0,0 +1,263 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
+)
+
+// fabric is a network in memory for tests in virtual time. Its connections
+// are pipes that can go silent.
+type fabric struct {
+	mu        sync.Mutex
+	listeners map[string]*memListener
+	conns     map[string][]*memConn // by the address that was dialled
+}
+
+func newFabric() *fabric {
+	return &fabric{listeners: map[string]*memListener{}, conns: map[string][]*memConn{}}
+}
+
+type memAddr string
+
+func (memAddr) Network() string  { return "mem" }
+func (a memAddr) String() string { return string(a) }
+
+type memListener struct {
+	fabric  *fabric
+	address string
+	queue   chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+func (l *memListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memListener) Addr() net.Addr { return memAddr(l.address) }
+
+func (l *memListener) Close() error {
+	l.once.Do(func() {
+		l.fabric.mu.Lock()
+		defer l.fabric.mu.Unlock()
+		if l.fabric.listeners[l.address] == l {
+			delete(l.fabric.listeners, l.address)
+		}
+		close(l.closed)
+	})
+	return nil
+}
+
+func (f *fabric) listen(address string) (net.Listener, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := &memListener{fabric: f, address: address, queue: make(chan net.Conn, 100), closed: make(chan struct{})}
+	f.listeners[address] = l
+	return l, nil
+}
+
+func (f *fabric) dial(_ context.Context, _, address string) (net.Conn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	address = strings.TrimSuffix(address, port)
+	l := f.listeners[address]
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	a, b := net.Pipe()
+	c := &memConn{Conn: a, done: make(chan struct{})}
+	f.conns[address] = append(f.conns[address], c)
+	l.queue <- b
+	return c, nil
+}
+
+// silence makes the present connections to an address carry nothing more; new
+// ones work.
+func (f *fabric) silence(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.conns[address] {
+		c.mu.Lock()
+		c.silent = true
+		c.mu.Unlock()
+	}
+}
+
+// cut closes the present connections to an address.
+func (f *fabric) cut(address string) {
+	f.mu.Lock()
+	conns := f.conns[address]
+	f.conns[address] = nil
+	f.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Conn.Close()
+	}
+}
+
+// kill ends whatever listens on an address.
+func (f *fabric) kill(address string) {
+	f.mu.Lock()
+	l := f.listeners[address]
+	f.mu.Unlock()
+	if l != nil {
+		_ = l.Close()
+	}
+	f.cut(address)
+}
+
+type memConn struct {
+	net.Conn
+	mu     sync.Mutex
+	silent bool
+	once   sync.Once
+	done   chan struct{}
+}
+
+func (c *memConn) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent
+}
+
+func (c *memConn) Write(p []byte) (int, error) {
+	if c.isSilent() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *memConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.isSilent() {
+		<-c.done
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *memConn) Close() error {
+	c.once.Do(func() { close(c.done) })
+	return c.Conn.Close()
+}
+
+// port ends the addresses that are dialled.
+const port = ":80"
+
+// world is a front, several guards and their backend servers on a fabric.
+type world struct {
+	t      *testing.T
+	net    *fabric
+	nodes  map[string]*testNode
+	front  *Front
+	client *http.Client
+}
+
+// newWorld starts nodes a, b, ... whose backend servers run the handler. The
+// addresses are front, guard-a and backend-a.
+func newWorld(t *testing.T, ids string, handler func(id string) http.Handler, edit func(*snapshot.Route)) *world {
+	w := &world{t: t, net: newFabric(), nodes: map[string]*testNode{}}
+	var guards []string
+	for _, id := range strings.Split(ids, "") {
+		if handler != nil {
+			w.serve("backend-"+id, &http.Server{Handler: handler(id)})
+		}
+		n := w.node(id)
+		w.nodes[id] = n
+		guards = append(guards, "guard-"+id+port)
+	}
+	w.front = frontOf(guards, edit, newList())
+	w.front.cfg.Link = w.link(0)
+	w.serve("front", NewServer(w.front))
+	tr := &http.Transport{DialContext: w.net.dial, DisableCompression: true}
+	w.client = &http.Client{Transport: tr}
+	t.Cleanup(tr.CloseIdleConnections)
+	return w
+}
+
+func (w *world) link(max int) *Link {
+	l := NewLink(LinkConfig{Dial: w.net.dial, MaxConns: max})
+	w.t.Cleanup(l.Close)
+	return l
+}
+
+func (w *world) serve(address string, srv *http.Server) {
+	ln, err := w.net.listen(address)
+	assert.NilError(w.t, err)
+	failOnPanic(w.t, srv)
+	go func() { _ = srv.Serve(ln) }()
+	w.t.Cleanup(func() { _ = srv.Close() })
+}
+
+func (w *world) node(id string) *testNode {
+	n := newNode(id, "backend-"+id+port, func(cfg *GuardConfig) {
+		cfg.Link = w.link(110)
+		cfg.Peers = w.link(0)
+	})
+	w.serve("guard-"+id, NewServer(n.guard))
+	stop := make(chan struct{})
+	go func() { // the node's tick
+		tick := time.NewTicker(10 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case now := <-tick.C:
+				n.gate.Tick(now)
+			case <-stop:
+				return
+			}
+		}
+	}()
+	w.t.Cleanup(func() { close(stop) })
+	return n
+}
+
+// told is what a caller learned of a call.
+type told struct {
+	status  int
+	outcome string
+	reason  string
+	body    string
+	err     error // of the connection, or of the body
+	took    time.Duration
+}
+
+func (w *world) call(method, target, body string, edit func(*http.Request)) told {
+	w.t.Helper()
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	req, err := http.NewRequest(method, "http://front"+target, reader)
+	assert.NilError(w.t, err)
+	req.Host = testHost
+	if edit != nil {
+		edit(req)
+	}
+	begun := time.Now()
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return told{err: err, took: time.Since(begun)}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return told{
+		status: resp.StatusCode, outcome: resp.Header.Get(HeaderOutcome), reason: resp.Header.Get(HeaderReason),
+		body: string(data), err: err, took: time.Since(begun),
+	}
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -53,7 +53,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.flight.enter()
 	defer f.flight.leave()
-	rc := beginCall(w, r)
+	rc := beginCall(w)
 	defer endCall(rc, r)
 	if refusal := refusalOf(r); refusal != nil {
 		refusal.write(w)
@@ -104,7 +104,7 @@
 	c := &call{
 		front: f, w: w, r: r, ctx: r.Context(), route: route, service: route.Service, policy: &route.Service.Policy,
 		started: now, deadline: now.Add(timeoutOf(r, route)), idempotent: route.IsIdempotent(r.Method),
-		body: newKeptBody(r), early: &earlyHints{w: w},
+		body: newKeptBody(r),
 	}
 	if refusal := c.checkKey(now); refusal != nil {
 		return nil, refusal
--- a/internal/proxy/guard.go
+++ b/internal/proxy/guard.go
@@ -9,6 +9,7 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/admission"
 	"github.com/goldcrestshed/goldcrestshed/internal/once"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
+	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 )
 
 // GuardConfig holds what a Guard decides with.
@@ -37,7 +38,8 @@
 	cfg      GuardConfig
 	flight   *flight
 	draining atomic.Bool
-	down     atomic.Bool // the backend server refused the last connection
+	down     atomic.Bool    // the backend server refused the last connection
+	budget   *retry.Budgets // of calls sent again on a new connection
 }
 
 // NewGuard returns a Guard.
@@ -51,7 +53,7 @@
 	if cfg.GuardOf == nil {
 		cfg.GuardOf = func(once.Holder) (string, bool) { return "", false }
 	}
-	return &Guard{cfg: cfg, flight: newFlight()}
+	return &Guard{cfg: cfg, flight: newFlight(), budget: retry.NewBudgets()}
 }
 
 // Drain refuses new calls from now on.
@@ -70,7 +72,7 @@
 func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.flight.enter()
 	defer g.flight.leave()
-	rc := beginCall(w, r)
+	rc := beginCall(w)
 	defer endCall(rc, r)
 	v := g.newVisit(w, r, rc)
 	if v.rule != "" {
@@ -136,12 +138,12 @@
 
 // takeBody gets the beginning of the body, which the fingerprint needs.
 func (v *visit) takeBody() *Failure {
-	switch {
-	case v.body.small():
-		if err := v.body.take(v.rc, v.deadline); err != nil {
-			return failureOf(&sendError{cause: err}, v.body)
-		}
-	case v.body != nil && v.r.Header.Get("Expect") == "":
+	var err error
+	if v.w, err = v.body.prepare(v.w, v.rc, v.deadline); err != nil {
+		return failureOf(&sendError{cause: err}, v.body)
+	}
+	v.early.w = v.w
+	if v.body != nil && v.r.Header.Get("Expect") == "" {
 		v.body.await(streamPrefixWait)
 		if err := v.body.failure(); err != nil {
 			return failureOf(&sendError{cause: err}, v.body)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,11 +33,29 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	srv := NewServer(h)
+	failOnPanic(t, srv)
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	return ln.Addr().String()
 }
 
+// panicLog notes whether net/http's server logged a panic of a handler or of
+// its own.
+type panicLog struct{ seen atomic.Bool }
+
+func (l *panicLog) Write(p []byte) (int, error) {
+	if strings.Contains(string(p), "panic") {
+		l.seen.Store(true)
+	}
+	return len(p), nil
+}
+
+func failOnPanic(t testing.TB, srv *http.Server) {
+	l := &panicLog{}
+	srv.ErrorLog = log.New(l, "", 0)
+	t.Cleanup(func() { assert.Assert(t, !l.seen.Load(), "a server panicked") })
+}
+
 // holderOf returns a holder with one route to a service behind the guards.
 func holderOf(guards []string, edit func(*snapshot.Route)) *snapshot.Holder {
 	svc := &snapshot.Service{Name: "shop", Policy: profile.Policy{Timeout: jsonc.Duration(2 * time.Second), Retries: 1, RetryBudget: 1, Queue: 64}}
@@ -150,7 +170,13 @@
 
 // newTestNode returns a node beside a backend server.
 func newTestNode(t testing.TB, id, backend string, edit func(*GuardConfig)) *testNode {
-	n := &testNode{gate: admission.NewGate(admission.Config{Slots: 18, Queue: 64}), quarantine: quarantine.NewList(quarantine.Config{})}
+	n := newNode(id, backend, edit)
+	n.address = serveCalls(t, n.guard)
+	return n
+}
+
+func newNode(id, backend string, edit func(*GuardConfig)) *testNode {
+	n := &testNode{gate: admission.NewGate(admission.Config{Slots: 18, Queue: 64}), quarantine: newList()}
 	cfg := GuardConfig{
 		Self: id, Address: backend, Link: NewLink(LinkConfig{MaxConns: 110}), Peers: NewLink(LinkConfig{}),
 		Gate: n.gate, Quarantine: n.quarantine, InFlight: quarantine.NewInFlight(),
@@ -159,15 +185,16 @@
 		edit(&cfg)
 	}
 	n.guard = NewGuard(cfg)
-	n.address = serveCalls(t, n.guard)
 	return n
 }
 
+func newList() *quarantine.List { return quarantine.NewList(quarantine.Config{}) }
+
 // newTestFront returns a front that routes to guards and the address for
 // callers.
 func newTestFront(t testing.TB, guards []string, edit func(*snapshot.Route)) string {
 	t.Helper()
-	return serveCalls(t, frontOf(guards, edit, quarantine.NewList(quarantine.Config{})))
+	return serveCalls(t, frontOf(guards, edit, newList()))
 }
 
 func frontOf(guards []string, edit func(*snapshot.Route), list *quarantine.List) *Front {
--- a/internal/proxy/http_test.go
+++ b/internal/proxy/http_test.go
@@ -291,6 +291,31 @@
 	})
 }
 
+// TestEarlyAnswerToLongBody guards against a connection that breaks, or whose
+// next call is misread, after an answer that came before the end of a body.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	address := newPath(t, scripted(t, func(c net.Conn, r *bufio.Reader, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		_, _ = io.Copy(io.Discard, r)
+	}))
+	overBoth(t, func(t *testing.T, c *http.Client) {
+		for _, size := range []int{100, 70000, 150000} {
+			for range 5 {
+				out, in := io.Pipe()
+				go func() {
+					_, _ = io.WriteString(in, strings.Repeat("a", size/2))
+					time.Sleep(3 * streamPrefixWait) // the answer comes first
+					_, _ = io.WriteString(in, strings.Repeat("b", size/2))
+					_ = in.Close()
+				}()
+				resp, _, err := do(t, c, newCall(t, "POST", address, "/", out))
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusForbidden)
+			}
+		}
+	})
+}
+
 // TestRefusedByHTTP guards against calls that HTTP forbids or we do not
 // support reaching a backend server, and against refusals without outcome.
 func TestRefusedByHTTP(t *testing.T) {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -14,9 +14,12 @@
 // pieceBytes is the most that is copied at once.
 const pieceBytes = 32 << 10
 
-// promptBytes is the length up to which an answer's header waits for its
-// body, since both usually come in one packet.
-const promptBytes = 4 << 10
+// The header of an answer of up to promptBytes waits for its body for
+// promptWait, since both usually come in one packet.
+const (
+	promptBytes = 4 << 10
+	promptWait  = time.Millisecond
+)
 
 var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
 
@@ -29,7 +32,10 @@
 func relay(w http.ResponseWriter, r *http.Request, a *answer) (int64, error) {
 	rc := http.NewResponseController(w)
 	writeHeader(w, r, a)
-	if a.ContentLength > promptBytes || (a.ContentLength < 0 && r.Method != http.MethodHead) {
+	if r.Method == http.MethodHead || a.ContentLength == 0 {
+		return 0, drainEmpty(w, a)
+	}
+	if a.ContentLength < 0 || a.ContentLength > promptBytes {
 		if err := flush(rc); err != nil {
 			return 0, err
 		}
@@ -65,6 +71,45 @@
 	return a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Request.Method != http.MethodHead
 }
 
+// drainEmpty ends an exchange whose answer has no body.
+func drainEmpty(w http.ResponseWriter, a *answer) error {
+	if _, err := a.Read(make([]byte, 1)); err != io.EOF {
+		return errors.Wrap(err, "read answer")
+	}
+	writeTrailer(w.Header(), a)
+	return nil
+}
+
+// lateHeader sends the header of an answer whose body does not come at once.
+type lateHeader struct {
+	mu    sync.Mutex
+	rc    *http.ResponseController
+	timer *time.Timer
+	over  bool // the first piece is there
+}
+
+func newLateHeader(rc *http.ResponseController) *lateHeader {
+	l := &lateHeader{rc: rc}
+	l.timer = time.AfterFunc(promptWait, l.send)
+	return l
+}
+
+func (l *lateHeader) send() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.over {
+		_ = l.rc.Flush()
+	}
+}
+
+// stop must come before the answer is written to.
+func (l *lateHeader) stop() {
+	l.timer.Stop()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.over = true
+}
+
 // copyBody passes each piece on at once, since streams may pause between
 // pieces. The last piece of a body of known length leaves with the end of the
 // answer.
@@ -72,8 +117,11 @@
 	piece := pieces.Get().(*[pieceBytes]byte)
 	defer pieces.Put(piece)
 	var total int64
+	late := newLateHeader(rc)
+	defer late.stop()
 	for {
 		n, err := a.Read(piece[:])
+		late.stop()
 		if n > 0 {
 			total += int64(n)
 			if err := writePiece(w, rc, piece[:n], total != a.ContentLength); err != nil {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -92,6 +92,7 @@
 // exchange sends the call to the backend server and waits for the header of
 // its answer.
 func (v *visit) exchange() (*answer, *sendError) {
+	v.guard.budget.Call(v.guard.cfg.Self, resendShare, time.Now())
 	a, err := v.send(false)
 	if err != nil && v.lost(err) {
 		v.checkCrash()
@@ -113,7 +114,15 @@
 	if !err.reused || err.canceled || time.Until(v.deadline) < leastAttempt || v.guard.down.Load() {
 		return false
 	}
-	return v.body.resendable() && (!err.sent || v.repeat)
+	return v.body.resendable() && (!err.sent || (v.repeat && v.spend()))
+}
+
+// resendShare bounds the calls that a guard sends again on a new connection,
+// so that a server that loses every call is not sent each of them twice.
+const resendShare = 0.1
+
+func (v *visit) spend() bool {
+	return v.guard.budget.Spend(v.guard.cfg.Self, resendShare, time.Now())
 }
 
 func (v *visit) send(fresh bool) (*answer, *sendError) {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -28,15 +28,10 @@
 	return srv
 }
 
-// beginCall readies a connection for streams in both directions.
-func beginCall(w http.ResponseWriter, r *http.Request) *http.ResponseController {
+// beginCall readies the connection of a call.
+func beginCall(w http.ResponseWriter) *http.ResponseController {
 	rc := http.NewResponseController(w)
 	_ = rc.SetWriteDeadline(time.Time{}) // the last answer on the connection may have left one
-	if r.ContentLength != 0 {
-		// Without it net/http would read the body to its end before it writes
-		// the header of an answer.
-		_ = rc.EnableFullDuplex()
-	}
 	return rc
 }
 
@@ -46,3 +41,39 @@
 		_ = rc.SetReadDeadline(time.Now().Add(unreadBodyWait))
 	}
 }
+
+// prepare takes a small body whole and readies the connection for a body that
+// streams. It returns the writer to answer with.
+func (b *keptBody) prepare(w http.ResponseWriter, rc *http.ResponseController, deadline time.Time) (http.ResponseWriter, error) {
+	switch {
+	case b == nil:
+		return w, nil
+	case b.small():
+		return w, b.take(rc, deadline)
+	}
+	// Without it net/http would read the body to its end before it writes the
+	// header of an answer.
+	if rc.EnableFullDuplex() != nil || b.in.ProtoMajor != 1 {
+		return w, nil
+	}
+	return &duplexWriter{ResponseWriter: w, body: b}, nil
+}
+
+// duplexWriter closes the connection of an answer that begins before the end
+// of the call's body. net/http's server fails on the next request if such a
+// body ends after its handler has returned.
+type duplexWriter struct {
+	http.ResponseWriter
+	body *keptBody
+}
+
+// Unwrap lets http.ResponseController find the methods of the writer below.
+func (d *duplexWriter) Unwrap() http.ResponseWriter { return d.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (d *duplexWriter) WriteHeader(status int) {
+	if status >= http.StatusOK && !d.body.ended() {
+		d.Header().Set("Connection", "close")
+	}
+	d.ResponseWriter.WriteHeader(status)
+}
