Wait for the call in flight in the drain test; log drain_started once the guard refuses

Cause: TestDrainCutsNoCall slept 200 ms, and failed once since the event was logged before the guard refused work. Change: the test polls the backend server's load; the event follows the refusal. Conclusion: the event now means what it says.

--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"encoding/json"
 	"net/http"
 	"os/exec"
 	"syscall"
@@ -9,6 +10,9 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/standin"
 )
 
 // exitCode waits for the end of a process.
@@ -25,23 +29,23 @@
 
 // startDrainable starts a node that serves vitrine with calls of one second,
 // and another one to call through.
-func startDrainable(t *testing.T) (front, guard *startedNode) {
+func startDrainable(t *testing.T) (front, guard *startedNode, slow string) {
 	t.Helper()
 	log := listeningOn(t, start(t, false, "goldcrestctl", "dev", "log", "--listen", "127.0.0.1:0"))
-	slow := listeningOn(t, start(t, false, "goldcrestctl", "dev", "backend", "--listen", "127.0.0.1:0", "--service", "vitrine", "--service-time", "1s"))
+	slow = listeningOn(t, start(t, false, "goldcrestctl", "dev", "backend", "--listen", "127.0.0.1:0", "--service", "vitrine", "--service-time", "1s"))
 	other := listeningOn(t, start(t, false, "goldcrestctl", "dev", "backend", "--listen", "127.0.0.1:0", "--service", "agenda"))
 	guard = startNode(t, "guard", "vitrine", log, slow)
 	front = startNode(t, "front", "agenda", log, other)
 	out, code := ctl(t, "publish", "--log", log, writeProfile(t, "vitrine"))
 	assert.Equal(t, code, 0, out)
 	awaitAnswer(t, []*startedNode{front}, http.StatusOK, "vitrine")
-	return front, guard
+	return front, guard, slow
 }
 
 // TestDrainCutsNoCall guards against a graceful end that cuts a call in
 // flight or lets new work in (promises P7 and P8).
 func TestDrainCutsNoCall(t *testing.T) {
-	front, guard := startDrainable(t)
+	front, guard, slow := startDrainable(t)
 	type result struct {
 		status int
 		server string
@@ -51,7 +55,7 @@
 		status, a, _ := call(t, "POST", front.Calls, "in flight")
 		answered <- result{status, a.Server}
 	}()
-	awaitRuns(t, guard)
+	awaitInFlight(t, slow)
 	assert.NilError(t, guard.cmd.Process.Signal(syscall.SIGTERM))
 	guard.await(t, "drain_started")
 
@@ -63,16 +67,26 @@
 	assert.Equal(t, guard.exitCode(t), 0)
 }
 
-// awaitRuns waits until a call is in flight at the node's guard.
-func awaitRuns(t *testing.T, _ *startedNode) {
+// awaitInFlight waits until the backend server runs a call.
+func awaitInFlight(t *testing.T, backend string) {
 	t.Helper()
-	time.Sleep(200 * time.Millisecond)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp, err := http.Get("http://" + backend + "/load")
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		var l standin.Load
+		assert.NilError(t, json.NewDecoder(resp.Body).Decode(&l))
+		if l.InFlight > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no call in flight")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
 }
 
 // TestSecondSignalEndsAtOnce guards against a drain that an operator cannot
 // cut short.
 func TestSecondSignalEndsAtOnce(t *testing.T) {
-	_, guard := startDrainable(t)
+	_, guard, _ := startDrainable(t)
 	assert.NilError(t, guard.cmd.Process.Signal(syscall.SIGTERM))
 	guard.await(t, "drain_started")
 	begun := time.Now()
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -95,8 +95,8 @@
 		return nil
 	case <-n.draining:
 	}
-	n.logger.Info("drain_started", "limit", n.settings.Drain.Limit.D())
 	n.guard.Drain()
+	n.logger.Info("drain_started", "limit", n.settings.Drain.Limit.D())
 	n.announceStatus(ctx, membership.StatusDraining)
 	for _, srv := range n.servers.list() {
 		srv.SetKeepAlivesEnabled(false) // answers say Connection: close, so callers move on
