--- a/bench/once.go
+++ b/bench/once.go
@@ -70,10 +70,11 @@
 	faults.Go(func() { w.causeFaults(faulty) })
 	r := rand.New(rand.NewPCG(w.seed, 1))
 	results := make([]onceCaller, onceCalls)
+	start := time.Now()
 	for i := range results {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * onceGap)))
 		results[i].random = rand.New(rand.NewPCG(w.seed, r.Uint64()))
 		callers.Go(func() { results[i].play(w) })
-		time.Sleep(onceGap)
 	}
 	callers.Wait()
 	calm()
