Let a revised profile change a gate and flush outcomes on shutdown

Cause: a gate took queue and longShare only when it was built, though profiles change while calls run; and outcomes still on their way were lost when a node shut down gracefully, so others could only say unknown. Change: Gate.SetPolicy, and Coordinator.Flush for the end of a drain. Figures: a fold with 60,000 keys takes 25 MB. Without the wait of Flush its test fails; so does the one of SetPolicy when the queue keeps its first bound. Both packages pass with -race. Conclusion: the node has what it needs to honour a new version and to leave without unknown outcomes.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -33,10 +33,10 @@
 // It has a single lock because the slots of one server are one resource. The
 // lock is a leaf: nothing else is locked and nothing blocks while it is held.
 type Gate struct {
-	cfg     Config
 	classes *Classes
 
 	mu       sync.Mutex
+	cfg      Config               // guarded by mu
 	queue    queue                // guarded by mu
 	inUse    [2][2]int            // slots in use by priority and class; guarded by mu
 	demand   demand               // guarded by mu
@@ -49,17 +49,34 @@
 // NewGate returns a Gate with all slots free.
 func NewGate(cfg Config) *Gate {
 	cfg.Slots = max(cfg.Slots, 1)
-	cfg.Queue = max(cfg.Queue, 0)
-	if cfg.LongShare <= 0 {
-		cfg.LongShare = DefaultLongShare
-	}
 	if cfg.BackgroundShare <= 0 {
 		cfg.BackgroundShare = DefaultBackgroundShare
 	}
 	if cfg.Classes == nil {
 		cfg.Classes = NewClasses()
 	}
-	return &Gate{cfg: cfg, classes: cfg.Classes, running: make(map[*Ticket]struct{})}
+	g := &Gate{cfg: cfg, classes: cfg.Classes, running: make(map[*Ticket]struct{})}
+	g.SetPolicy(Policy{Queue: cfg.Queue, LongShare: cfg.LongShare})
+	return g
+}
+
+// Policy is the part of a Config that comes from the service's profile and
+// may change while calls run.
+type Policy struct {
+	Queue     int
+	LongShare float64 // 0 stands for DefaultLongShare
+}
+
+// SetPolicy changes the limits that a profile sets. Calls that wait beyond a
+// shorter queue keep their places.
+func (g *Gate) SetPolicy(p Policy) {
+	if p.LongShare <= 0 {
+		p.LongShare = DefaultLongShare
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cfg.Queue = max(p.Queue, 0)
+	g.cfg.LongShare = min(p.LongShare, 1)
 }
 
 // Started notes that the backend server started or restarted, which begins
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -317,6 +317,26 @@
 	assert.Equal(t, g.Report(after(5*time.Second)).InUse, 11)
 }
 
+// Guards a revised profile: its limits hold for the next calls, and calls that
+// wait beyond a shorter queue keep their places.
+func TestSetPolicyChangesLimitsInUse(t *testing.T) {
+	g := NewGate(Config{Slots: 1, Queue: 2})
+	running, _ := enter(g, 0, Request{})
+	first, _ := enter(g, 0, Request{})
+	second, _ := enter(g, 0, Request{})
+	g.SetPolicy(Policy{Queue: 1})
+	_, v := enter(g, 0, Request{})
+	assert.Equal(t, v, Refused)
+	running.Leave(epoch, ms, true)
+	assert.Equal(t, decided(first), Admitted)
+	assert.Equal(t, decided(second), Queued)
+	_, v = enter(g, 0, Request{})
+	assert.Equal(t, v, Refused)
+	g.SetPolicy(Policy{Queue: 2})
+	_, v = enter(g, 0, Request{})
+	assert.Equal(t, v, Queued)
+}
+
 // Guards against memory that grows with the names of routes.
 func TestClassesBoundRoutes(t *testing.T) {
 	c := NewClasses()
--- a/internal/once/coordinator.go
+++ b/internal/once/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,7 +34,7 @@
 const (
 	KindRun       Kind = "run"       // run it, then call Finish or Release
 	KindJoined    Kind = "joined"    // wait for Run.Done and give Run.Answer
-	KindElsewhere Kind = "elsewhere" // send it to Holder; see WithoutHolder
+	KindElsewhere Kind = "elsewhere" // send it to Holder, or use WithoutHolder when that life of the node is over
 	KindRan       Kind = "ran"       // it ran with Status; the answer is gone
 	KindUnknown   Kind = "unknown"   // it may have run
 	KindRefused   Kind = "refused"   // it is not run
@@ -74,6 +75,8 @@
 	cfg      CoordinatorConfig
 	ledger   *Ledger
 	settling chan Settlement
+	unsent   atomic.Int64  // settlements that are not in the log
+	sent     chan struct{} // holds a token after a settlement has left
 }
 
 // NewCoordinator returns a Coordinator; settlements are sent while Run runs.
@@ -81,7 +84,7 @@
 	if cfg.NewID == nil {
 		cfg.NewID = uuid.NewString
 	}
-	return &Coordinator{cfg: cfg, ledger: NewLedger(), settling: make(chan Settlement, settleQueue)}
+	return &Coordinator{cfg: cfg, ledger: NewLedger(), settling: make(chan Settlement, settleQueue), sent: make(chan struct{}, 1)}
 }
 
 // Begin decides a keyed call. It waits for the claim until ctx ends; a claim
@@ -252,12 +255,36 @@
 }
 
 func (c *Coordinator) settle(s Settlement) {
+	c.unsent.Add(1)
 	select {
 	case c.settling <- s:
 	default: // the queue is bounded; the outcome stays unknown to others
+		c.left()
 	}
 }
 
+// left counts a settlement that is in the log or was dropped.
+func (c *Coordinator) left() {
+	c.unsent.Add(-1)
+	select {
+	case c.sent <- struct{}{}:
+	default:
+	}
+}
+
+// Flush waits until all settlements have left. A node that shuts down calls it
+// after its last run, so that others learn the outcomes.
+func (c *Coordinator) Flush(ctx context.Context) error {
+	for c.unsent.Load() > 0 {
+		select {
+		case <-c.sent:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d outcomes of keyed calls are not in the log", c.unsent.Load())
+		}
+	}
+	return nil
+}
+
 // Tick drops what is no longer kept. It is meant to be called every second.
 func (c *Coordinator) Tick(now time.Time) { c.ledger.Expire(now) }
 
@@ -276,6 +303,7 @@
 		select {
 		case s := <-c.settling:
 			c.settleOne(ctx, s)
+			c.left()
 		case <-ctx.Done():
 			return
 		}
--- a/internal/once/coordinator_test.go
+++ b/internal/once/coordinator_test.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,24 @@
 	})
 }
 
+// Guards a graceful shutdown: outcomes are in the log before the node goes.
+func TestFlushSendsOutcomesBeforeTheNodeGoes(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		a, k := c.node("a", 0), c.key()
+		c.log.set(func(l *fakeLog) { l.slow = 100 * time.Millisecond })
+		assert.Equal(t, c.call(a, k, time.Second).wait(), OutcomeRan)
+		assert.NilError(t, a.Flush(c.ctx))
+		a.kill()
+		assert.Equal(t, c.call(c.node("b", 0), k, time.Second).wait(), OutcomeRan)
+		c.log.set(func(l *fakeLog) { l.down = true })
+		b := c.node("b", 0)
+		b.Release(&Run{Key: k, ClaimID: "x", done: make(chan struct{})}, ReasonReleased, time.Now())
+		ctx, cancel := context.WithTimeout(c.ctx, time.Minute)
+		defer cancel()
+		assert.ErrorIs(t, b.Flush(ctx), context.DeadlineExceeded)
+	})
+}
+
 // Each case is one fault around calls with one key. Whatever happens, the key
 // runs as often as wanted and never twice.
 func TestFaultsAroundOneKey(t *testing.T) {
--- a/internal/once/fold.go
+++ b/internal/once/fold.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxKeys bounds the keys that a fold remembers, about 20 MB.
+	// maxKeys bounds the keys that a fold remembers, about 25 MB.
 	maxKeys = 60000
 	// maxClaims bounds the claims of one key. Each is remembered, so that a
 	// record that reaches the log twice cannot win the second time.
