Pass quarantine entries between nodes; list and lift them

Cause: entries reached other nodes only in answers to the calls concerned, so a caller who tried again through a third node was ahead of them. Conclusion: the word now travels by both ways.

--- a/cmd/goldcrestctl/nodes.go
+++ b/cmd/goldcrestctl/nodes.go
@@ -29,7 +29,7 @@
 
 func newStatusCommand() *cobra.Command {
 	var node string
-	var asJSON bool
+	var output outputFlag
 	cmd := &cobra.Command{
 		Use: "status --node ADDRESS", Short: "Show what every node holds", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -37,17 +37,19 @@
 			if err != nil {
 				return err
 			}
-			if asJSON {
-				return json.NewEncoder(cmd.OutOrStdout()).Encode(rows)
-			}
-			return printRows(cmd.OutOrStdout(), rows)
+			return output.print(cmd.OutOrStdout(), statusRows(rows), nil)
 		},
 	}
 	addNodeFlag(cmd, &node)
-	cmd.Flags().BoolVar(&asJSON, "json", false, "print the rows as JSON")
+	output.add(cmd)
 	return cmd
 }
 
+// statusRows is the result of status.
+type statusRows []peer.StatusRow
+
+func (r statusRows) writeText(w io.Writer) error { return printRows(w, r) }
+
 func addNodeFlag(cmd *cobra.Command, node *string) {
 	cmd.Flags().StringVar(node, "node", "", "admin address of any node, ip:port")
 	_ = cmd.MarkFlagRequired("node")
--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -142,4 +143,10 @@
 // SelfEntry returns the own entry, for hello.
 func (a *Agent) SelfEntry() membership.Member { return a.self() }
 
+// Neighbours returns the nodes that this one has links to.
+func (a *Agent) Neighbours() []membership.Member {
+	t := a.topology.Load()
+	return slices.Concat(t.Neighbours, t.Bridges)
+}
+
 func (a *Agent) isReader() bool { return a.topology.Load().IsReader(a.Self) }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -34,14 +34,15 @@
 	mux.Handle("GET /metrics", n.metrics.Handler)
 	mux.Handle("GET /dump", n.dump)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(n.Status())
+		writeJSON(w, n.Status())
 	})
 	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
 		n.Drain()
 		w.WriteHeader(http.StatusAccepted)
 	})
 	mux.HandleFunc("GET /v1/nodes", n.serveNodes)
+	mux.HandleFunc("GET /v1/quarantine", n.serveQuarantine)
+	mux.HandleFunc("POST /v1/quarantine/{fingerprint}/lift", n.serveLift)
 	return mux
 }
 
@@ -52,8 +53,12 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	writeJSON(w, answer)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
+	_ = json.NewEncoder(w).Encode(v) // the caller has gone when this fails
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -23,6 +23,7 @@
 	budgets    *retry.Budgets
 	latencies  *retry.Latencies
 	quarantine *quarantine.List
+	suspects   *suspects
 	gate       *admission.Gate
 	once       *once.Coordinator
 	claims     *claimers
@@ -37,6 +38,7 @@
 	c.budgets = retry.NewBudgets()
 	c.latencies = retry.NewLatencies()
 	c.quarantine = quarantine.NewList(quarantine.Config{})
+	c.suspects = newSuspects()
 	c.gate = admission.NewGate(admission.Config{
 		Slots: n.settings.BackendServer.Slots, Queue: defaultQueue, ColdStart: admission.DefaultColdStart,
 	})
@@ -48,11 +50,12 @@
 	c.nodes = proxy.NewLink(proxy.LinkConfig{})
 	n.front = proxy.NewFront(proxy.FrontConfig{
 		Holder: n.holder, Link: c.nodes, Balancer: balance.NewBalancer(c.stats, locality(self), rand.Uint64), Stats: c.stats,
-		Budgets: c.budgets, Latencies: c.latencies, Quarantine: c.quarantine,
+		Budgets: c.budgets, Latencies: c.latencies, Quarantine: c.quarantine, News: c.suspects.tell,
 	})
 	n.guard = proxy.NewGuard(proxy.GuardConfig{
 		Self: self.ID, Address: n.settings.BackendServer.Address, Link: c.backend, Peers: c.nodes,
 		Gate: c.gate, Once: c.once, Quarantine: c.quarantine, InFlight: quarantine.NewInFlight(), GuardOf: n.guardOf,
+		News: c.suspects.tell,
 	})
 }
 
@@ -96,6 +99,7 @@
 	add(func() { every(ctx, gateEvery, n.calls.gate.Tick) })
 	add(func() { every(ctx, pruneEvery, n.pruneCalls) })
 	add(func() { _ = n.calls.once.Run(ctx) })
+	add(func() { n.sendSuspects(ctx) })
 	add(func() { n.calls.claims.run(ctx, n.agent.ReadyDone()) })
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -51,7 +51,7 @@
 }
 
 // Suspects takes quarantine entries.
-func (h *peerHandler) Suspects(json.RawMessage) {}
+func (h *peerHandler) Suspects(entries json.RawMessage) { h.node.hearSuspects(entries) }
 
 // Claim answers claims of keys.
 func (h *peerHandler) Claim(ctx context.Context, claim json.RawMessage) (json.RawMessage, error) {
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -58,6 +58,8 @@
 	{"member_dead", "warn", "a member was given up after two suspicions, or one that stood for 10 s"},
 	{"announcement_unreadable", "warn", "a record of stream members could not be read"},
 	{"announce_failed", "warn", "the node could not write its entry to the log; it tries again"},
+	{"news_unsent", "error", "quarantine entries could not be encoded; they still travel with answers"},
+	{"news_unreadable", "warn", "a neighbour sent quarantine entries that could not be read"},
 	{"drain_started", "info", "the node takes no new work"},
 	{"drain_cut", "warn", "the drain limit ended calls in flight"},
 	{"drain_ended", "info", "every call in flight has ended"},
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -47,7 +47,7 @@
 	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "goldcrest", CachedReporter: reporter, Separator: tallyprom.DefaultSeparator,
-		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+		SanitizeOptions: &tallyprom.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, reportEvery)
 	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
