Test the inner protocol, the members and the spreading by tables of faults

Cause: only the path of a change had tests. Change: tables for token, hello, frames (with a fuzz target whose seeds run as plain tests), silent connections, links, readers, suspicion, compaction, merge order, crossing updates, deltas, bounded transfers, bridges, the start rule, a log that is restarted, expired or down, lost nodes, bad links, drain and status. goleak watches peer and distribution. A starting node renews its topology before it may read the log: alone in its table it took itself for a reader. No test fails when one of these is taken out: "verify after a role change" in reader.go (a later read finds the same loss) and the answered flag of startTarget, which the wait for a state covers.

--- /dev/null
+++ b/bench/fleet.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/cluster"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+)
+
+// fleetSizes are the numbers of nodes that run in one process; figures for
+// the design size are read from their slope.
+var fleetSizes = []int{12, 30, 60, 120}
+
+// The delays and places of Passarela Sul, with a fifth failure domain as at
+// the design size.
+const (
+	domainDelay = 500 * time.Microsecond
+	regionDelay = 8 * time.Millisecond
+	logRegion   = "gaucho"
+)
+
+var fleetDomains = []cluster.Domain{
+	{Region: "gaucho", Name: "poa-a"}, {Region: "litoral", Name: "floripa-a"}, {Region: "gaucho", Name: "poa-b"},
+	{Region: "litoral", Name: "floripa-b"}, {Region: "gaucho", Name: "poa-c"},
+}
+
+// startFleet starts nodes with a configuration of the design size and waits
+// until all are ready and know each other.
+func startFleet(ctx context.Context, nodes int) (*cluster.Cluster, error) {
+	c := cluster.New(cluster.Config{
+		Nodes: nodes, Domains: fleetDomains, LogRegion: logRegion, DomainDelay: domainDelay, RegionDelay: regionDelay,
+	})
+	if err := c.Init(ctx); err != nil {
+		return nil, err
+	}
+	if err := publishServices(ctx, c); err != nil {
+		return nil, err
+	}
+	c.StartAll()
+	err := await(ctx, func() bool { return allReady(c) && allKnown(c) })
+	if err != nil {
+		c.StopAll()
+		return nil, errors.Wrapf(err, "start %d nodes", nodes)
+	}
+	return c, nil
+}
+
+// services is the number of services at the design size.
+const services = 100
+
+// publishServices publishes one profile for each service in one change.
+func publishServices(ctx context.Context, c *cluster.Cluster) error {
+	var edits []profile.Edit
+	for i := range services {
+		name := fmt.Sprintf("service-%02d", i)
+		doc := fmt.Sprintf(`{"kind":"profile","name":%q,"routes":[{"name":"all","host":"%s.example","pathPrefix":"/","service":%q}]}`, name, name, name)
+		edits = append(edits, profile.Edit{
+			Op: profile.OpPublish, Key: profile.Key{Kind: profile.KindProfile, Name: name}, Document: json.RawMessage(doc),
+		})
+	}
+	_, err := c.Append(ctx, profile.Record{Kind: profile.RecordChange, Edits: edits})
+	return err
+}
+
+func allReady(c *cluster.Cluster) bool {
+	return !slices.ContainsFunc(c.Nodes, func(n *cluster.Node) bool { return !n.Agent().Ready() })
+}
+
+func allKnown(c *cluster.Cluster) bool {
+	return !slices.ContainsFunc(c.Nodes, func(n *cluster.Node) bool { return len(n.Agent().Table.All()) < len(c.Nodes) })
+}
+
+// awaitEvery is the resolution of await; it is used outside measured times
+// and for times of seconds.
+const awaitEvery = 10 * time.Millisecond
+
+func await(ctx context.Context, ok func() bool) error {
+	tick := time.NewTicker(awaitEvery)
+	defer tick.Stop()
+	for !ok() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait")
+		}
+	}
+	return nil
+}
+
+// logReads returns the reads that all nodes sent to the log.
+func logReads(c *cluster.Cluster) (sum int64) {
+	for _, n := range c.Nodes {
+		sum += n.Log.Reads()
+	}
+	return sum
+}
+
+// percentile returns the value below which a share of the sorted values lies.
+func percentile(sorted []time.Duration, share float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	i := min(int(share*float64(len(sorted))), len(sorted)-1)
+	return float64(sorted[i]) / float64(time.Millisecond)
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -109,6 +109,11 @@
 	return c.cfg.DomainDelay
 }
 
+// LogDelay returns the one-way delay between a node and the log.
+func (c *Cluster) LogDelay(n *Node) time.Duration {
+	return c.logDelay(Domain{Region: n.Entry.Region, Name: n.Entry.FailureDomain})
+}
+
 // Bytes returns what the nodes sent so far, in all and between regions.
 func (c *Cluster) Bytes() (sent, cross int64) { return c.sent.Load(), c.cross.Load() }
 
--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -109,6 +109,9 @@
 	return profile.Position{}, false
 }
 
+// Advanced returns a channel that the next change of the position closes.
+func (a *Agent) Advanced() <-chan struct{} { return a.core.advanced.next() }
+
 // Ready reports whether the start rule has been met.
 func (a *Agent) Ready() bool { return a.ready.Load() }
 
--- a/internal/distribution/cluster_test.go
+++ b/internal/distribution/cluster_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/goldcrestshed/goldcrestshed/internal/cluster"
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
-	"github.com/goldcrestshed/goldcrestshed/internal/peer"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 	"github.com/goldcrestshed/goldcrestshed/internal/standin"
 )
@@ -212,5 +211,3 @@
 		})
 	}
 }
-
-var _ = peer.ScopeAll
--- /dev/null
+++ b/internal/distribution/core_test.go
@@ -0,0 +1,191 @@
+package distribution
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/peer"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+)
+
+var shop = profile.Key{Kind: profile.KindProfile, Name: "shop"}
+
+func fullAt(era uint32, offset int64, number uint64) *peer.FullState {
+	c := &profile.Checkpoint{Era: era, Through: offset}
+	if number > 0 {
+		c.Entries = []profile.Entry{{Key: shop, Version: profile.Version{Era: 1, Number: number}}}
+	}
+	return &peer.FullState{Checkpoint: c}
+}
+
+func changeAt(offset int64) record {
+	data, _ := json.Marshal(profile.Record{ID: fmt.Sprint("r", offset), Kind: profile.RecordChange})
+	return record{Offset: offset, Data: data}
+}
+
+// TestCoreOrder guards against a node that moves back, or over a gap, when
+// updates cross, repeat, or come from a node that is behind.
+func TestCoreOrder(t *testing.T) {
+	at := func(era uint32, offset int64) profile.Position { return profile.Position{Era: era, Offset: offset} }
+	newSchema := record{Offset: 11, Data: []byte(`{"id":"x","schema":99}`)}
+	for _, c := range []struct {
+		name   string
+		update update
+		want   profile.Position
+		number uint64 // of the profile applied
+	}{
+		{"records that follow", update{from: at(1, 10), records: []record{changeAt(11), changeAt(12)}}, at(1, 12), 5},
+		{"records that overlap", update{from: at(1, 8), records: []record{changeAt(9), changeAt(10), changeAt(11)}}, at(1, 11), 5},
+		{"records after a gap", update{from: at(1, 12), records: []record{changeAt(13)}}, at(1, 10), 5},
+		{"records of another era", update{from: at(2, 10), records: []record{changeAt(11)}}, at(1, 10), 5},
+		{"record of a newer build", update{from: at(1, 10), records: []record{newSchema, changeAt(12)}}, at(1, 10), 5},
+		{"state of a node behind", update{full: fullAt(1, 9, 4)}, at(1, 10), 5},
+		{"state of the same position", update{full: fullAt(1, 10, 0)}, at(1, 10), 5},
+		{"newer state", update{full: fullAt(1, 20, 6)}, at(1, 20), 6},
+		{"next era from a node that was behind", update{full: fullAt(2, 0, 3)}, at(2, 0), 5},
+		{"next era without the document", update{full: fullAt(2, 0, 0)}, at(2, 0), 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := newCore(slog.New(slog.DiscardHandler))
+			core.published.Store(core.apply(update{full: fullAt(1, 10, 5)}))
+			if next := core.apply(c.update); next != nil {
+				core.published.Store(next)
+			}
+			p := core.published.Load()
+			assert.Equal(t, p.position(), c.want)
+			assert.Equal(t, p.Applied.Entries[shop].Version.Number, c.number)
+			assert.Equal(t, p.NewSchema, c.name == "record of a newer build")
+		})
+	}
+}
+
+func newTestAgent(t *testing.T) *Agent {
+	a := NewAgent(Config{Self: membership.Member{ID: "a", Region: "r", Status: membership.StatusAlive}, Table: membership.NewTable(), Logger: slog.New(slog.DiscardHandler)})
+	t.Cleanup(a.stop)
+	a.core.published.Store(a.core.apply(update{full: fullAt(1, 10, 5)}))
+	u := update{from: profile.Position{Era: 1, Offset: 10}}
+	for i := int64(11); i < 11+ringSize+20; i++ {
+		u.records = append(u.records, changeAt(i))
+	}
+	a.core.published.Store(a.core.apply(u))
+	return a
+}
+
+// TestPull guards against deltas with a gap, and full states where a delta
+// serves.
+func TestPull(t *testing.T) {
+	a := newTestAgent(t)
+	last := int64(10 + ringSize + 20)
+	for _, c := range []struct {
+		from    *profile.Position
+		records int
+		full    bool
+	}{
+		{from: nil, full: true},
+		{from: &profile.Position{Era: 1, Offset: last}},
+		{from: &profile.Position{Era: 1, Offset: last + 5}},
+		{from: &profile.Position{Era: 1, Offset: last - 3}, records: 3},
+		{from: &profile.Position{Era: 1, Offset: last - ringSize}, records: ringSize},
+		{from: &profile.Position{Era: 1, Offset: last - ringSize - 1}, full: true},
+		{from: &profile.Position{Era: 0, Offset: last - 1}, full: true},
+	} {
+		answer, err := a.Pull(t.Context(), peer.PullRequest{From: c.from})
+		assert.NilError(t, err)
+		assert.Equal(t, len(answer.Records), c.records, "%v", c.from)
+		assert.Equal(t, len(answer.Full) > 0, c.full, "%v", c.from)
+		assert.Equal(t, answer.Position.Offset, last)
+		if answer.Sent != nil {
+			answer.Sent()
+		}
+	}
+}
+
+// TestTransfersAreBounded guards against a restarted failure domain that
+// makes one node send its state to all at once, and against slots that leak.
+func TestTransfersAreBounded(t *testing.T) {
+	a := newTestAgent(t)
+	var sent []func()
+	for i := range maxTransfers + 3 {
+		answer, err := a.Pull(t.Context(), peer.PullRequest{})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.RetryAfterMs > 0, i >= maxTransfers)
+		assert.Assert(t, answer.RetryAfterMs <= (transferRetry+transferRetryLeast).Milliseconds())
+		if answer.Sent != nil {
+			sent = append(sent, answer.Sent)
+		}
+	}
+	for _, f := range sent {
+		f()
+	}
+	answer, err := a.Pull(t.Context(), peer.PullRequest{})
+	assert.NilError(t, err)
+	assert.Assert(t, answer.RetryAfterMs == 0)
+}
+
+// TestRemoteWaits guards against a change that crosses the metered link
+// although a reader of the own region has it a moment later.
+func TestRemoteWaits(t *testing.T) {
+	a := newTestAgent(t)
+	a.Table.Merge([]membership.Member{
+		{ID: "near", Region: "r", Status: membership.StatusAlive}, {ID: "far", Region: "s", Status: membership.StatusAlive},
+	})
+	p := &puller{Agent: a, notBefore: map[string]time.Time{}}
+	now := time.Now()
+	ahead := profile.Position{Era: 1, Offset: 1000}
+	a.heard.Set("far", ahead)
+	m, wait, found := p.next(now)
+	assert.Assert(t, found && m.ID == "far" && wait == bridgeWait, "%s %s", m.ID, wait)
+	_, wait, _ = p.next(now.Add(bridgeWait))
+	assert.Assert(t, wait <= 0)
+	a.heard.Set("near", ahead)
+	m, wait, _ = p.next(now)
+	assert.Assert(t, m.ID == "near" && wait <= 0)
+	p.notBefore["near"] = now.Add(time.Second)
+	m, _, _ = p.next(now)
+	assert.Equal(t, m.ID, "far", "a node that refused is asked again before its time")
+}
+
+// TestHeartbeatTellsPosition guards against a node that stays behind when an
+// announcement was lost.
+func TestHeartbeatTellsPosition(t *testing.T) {
+	a := newTestAgent(t)
+	ahead := profile.Position{Era: 1, Offset: 1000}
+	for _, c := range []struct {
+		told profile.Position
+		due  bool
+	}{{profile.Position{Era: 1, Offset: 3}, false}, {profile.Position{}, false}, {ahead, true}} {
+		a.Heartbeat(peer.Heartbeat{ID: "near", Position: c.told})
+		select {
+		case <-a.pullDue:
+			assert.Assert(t, c.due, "a pull for %s", c.told)
+		default:
+			assert.Assert(t, !c.due, "no pull for %s", c.told)
+		}
+	}
+}
+
+// TestReach guards against a node that serves before it holds what the log or
+// the best of its peers held.
+func TestReach(t *testing.T) {
+	last := int64(10 + ringSize + 20)
+	for _, c := range []struct {
+		target target
+		want   bool
+	}{
+		{target{offset: last, position: profile.Position{Era: 1, Offset: last}}, true},
+		{target{offset: last + 1}, false},
+		{target{offset: profile.NoOffset, position: profile.Position{Era: 1, Offset: last + 1}}, false},
+		{target{offset: profile.NoOffset, position: profile.Position{Era: 2}}, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			assert.Equal(t, newTestAgent(t).reach(t.Context(), c.target), c.want, "%+v", c.target)
+		})
+	}
+}
--- /dev/null
+++ b/internal/distribution/log_test.go
@@ -0,0 +1,208 @@
+package distribution_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/cluster"
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/standin"
+)
+
+// published publishes a first profile and waits until all nodes apply it.
+func (h *harness) published(name string) func(n *cluster.Node) bool {
+	has := h.publish(name)
+	h.eventually(limit, "the first change is in force", func() bool { return h.all(has) })
+	return has
+}
+
+// TestLogRestarted guards against a configuration that is lost, or goes back,
+// when the log comes back empty or with other records.
+func TestLogRestarted(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after func(h *harness)
+	}{
+		{"empty", func(*harness) {}},
+		{"with other records at the same offsets", func(h *harness) {
+			for range 5 {
+				_, err := h.Append(h.ctx, profile.Record{Kind: profile.RecordChange})
+				assert.NilError(h.t, err)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCluster(t, 12, time.Hour, func(h *harness) {
+				has := h.published("shop")
+				h.Log.SetFaults(standin.LogFaults{Reset: true})
+				c.after(h)
+				h.eventually(time.Minute, "the nodes are in the next era", func() bool {
+					return h.all(func(n *cluster.Node) bool {
+						p, _ := n.Agent().Position()
+						return p.Era == 2 && has(n)
+					})
+				})
+				next := h.publish("library")
+				h.eventually(limit, "the next change is in force", func() bool { return h.all(next) && h.all(has) })
+			})
+		})
+	}
+}
+
+// TestStateOutlivesRetention guards against records that expire although
+// nodes hold the state, and against readers that all write at once.
+func TestStateOutlivesRetention(t *testing.T) {
+	inCluster(t, 12, 4*time.Minute, func(h *harness) {
+		has := h.published("shop")
+		time.Sleep(30 * time.Minute)
+		b, err := h.Log.Local(0).Read(h.ctx, platformlog.StreamConfig, 0, 1, 0)
+		var out *platformlog.RangeError
+		if err == nil {
+			t.Fatalf("nothing expired: %+v", b)
+		}
+		assert.Assert(t, asRange(err, &out))
+		fold := profile.NewFold(out.First)
+		b, err = h.Log.Local(0).Read(h.ctx, platformlog.StreamConfig, out.First, 256, 0)
+		assert.NilError(t, err)
+		for _, e := range b.Entries {
+			fold.Apply(e.Offset, e.Data)
+		}
+		assert.Assert(t, fold.Anchored(), "the log has no checkpoint that stands alone")
+		_, held := fold.State().Entries[profile.Key{Kind: profile.KindProfile, Name: "shop"}]
+		assert.Assert(t, held)
+		assert.Assert(t, out.Next < 60, "%d checkpoints in 30 min", out.Next) // at most two each minute
+		h.Nodes[3].Kill()
+		h.Nodes[3].Start()
+		h.eventually(limit, "a new node has the state", func() bool {
+			return h.Nodes[3].Agent().Ready() && has(h.Nodes[3])
+		})
+	})
+}
+
+// TestReaderBehindExpiry guards against a reader that asks for a record that
+// expired while it was cut from the log, and against duplicate checkpoints
+// that change the state.
+func TestReaderBehindExpiry(t *testing.T) {
+	inCluster(t, 12, time.Hour, func(h *harness) {
+		has := h.published("shop")
+		for _, n := range h.Nodes {
+			n.Log.SetCut(true)
+		}
+		time.Sleep(15 * time.Second)
+		_, err := h.Publish(h.ctx, "library", nil, 0)
+		assert.NilError(t, err)
+		b, err := h.Log.Local(0).Read(h.ctx, platformlog.StreamConfig, 0, 256, 0)
+		assert.NilError(t, err)
+		fold := profile.NewFold(0)
+		for _, e := range b.Entries {
+			fold.Apply(e.Offset, e.Data)
+		}
+		for range 2 {
+			_, err = h.Append(h.ctx, profile.Record{Kind: profile.RecordCheckpoint, Checkpoint: profile.CheckpointOf(fold.State())})
+			assert.NilError(t, err)
+		}
+		h.Log.SetFaults(standin.LogFaults{ExpireBefore: map[string]int64{platformlog.StreamConfig: b.Next}})
+		for _, n := range h.Nodes {
+			n.Log.SetCut(false)
+		}
+		h.eventually(15*time.Second, "all hold both profiles", func() bool { return h.all(has) && h.all(h.applies("library")) })
+		p, _ := h.Nodes[0].Agent().Position()
+		assert.Equal(t, p.Era, uint32(1), "an expired record opened an era")
+	})
+}
+
+// TestOnlyReadersRead guards against nodes that poll the log although they
+// are no readers.
+func TestOnlyReadersRead(t *testing.T) {
+	inCluster(t, 12, time.Hour, func(h *harness) {
+		time.Sleep(30 * time.Second)
+		before := map[string]int64{}
+		for _, n := range h.Nodes {
+			before[n.Entry.ID] = n.Log.Reads()
+		}
+		time.Sleep(time.Minute)
+		reading := 0
+		for _, n := range h.Nodes {
+			if n.Log.Reads() > before[n.Entry.ID] {
+				reading++
+			}
+		}
+		assert.Equal(t, reading, 4)
+	})
+}
+
+// TestStartRule guards against a node that serves an old configuration, or
+// one of its own making, after its start.
+func TestStartRule(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		log, peers  bool // what the node reaches
+		ready       bool
+		alsoBlocked bool // its peers lack the newest record
+	}{
+		{name: "log and peers", log: true, peers: true, ready: true},
+		{name: "peers alone", peers: true, ready: true},
+		{name: "neither", ready: false},
+		{name: "log ahead of peers", log: true, peers: true, alsoBlocked: true, ready: false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCluster(t, 12, time.Hour, func(h *harness) {
+				has := h.published("shop")
+				n := h.Nodes[4]
+				n.Kill()
+				n.Log.SetCut(!c.log)
+				h.Net.SetCut(func(from, to string) bool { return !c.peers && (from == "n004" || to == "n004") })
+				if c.alsoBlocked {
+					for _, o := range h.Nodes {
+						o.Log.SetCut(true)
+					}
+					n.Log.SetCut(false)
+					time.Sleep(11 * time.Second) // the long polls under way end
+					assert.Assert(t, !h.isReader(n), "the test needs a node that does not read")
+					h.publish("library")
+				}
+				n.Start()
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, n.Agent().Ready(), c.ready)
+				assert.Equal(t, n.Agent().State() != nil && has(n), c.ready || c.alsoBlocked)
+				h.Net.SetCut(func(string, string) bool { return false })
+				for _, o := range h.Nodes {
+					o.Log.SetCut(false)
+				}
+				h.eventually(15*time.Second, "the node is ready", func() bool { return n.Agent().Ready() && has(n) })
+			})
+		})
+	}
+}
+
+// TestMassRestart guards against a storm in which a failure domain that
+// restarts is not ready in time, and against reads of the log past its
+// capacity.
+func TestMassRestart(t *testing.T) {
+	for _, logDown := range []bool{false, true} {
+		inCluster(t, 32, time.Hour, func(h *harness) {
+			has := h.published("shop")
+			before := h.reads()
+			h.Log.SetFaults(standin.LogFaults{Down: logDown})
+			for i := 0; i < len(h.Nodes); i += 4 {
+				h.Nodes[i].Kill()
+				h.Nodes[i].Start()
+			}
+			h.eventually(limit, "the domain is ready", func() bool {
+				return h.all(func(n *cluster.Node) bool { return n.Agent().Ready() && has(n) })
+			})
+			perNode := float64(h.reads()-before) / 8
+			assert.Assert(t, perNode < 20, "%v reads of the log a restarted node", perNode)
+		})
+	}
+}
+
+func (h *harness) reads() (sum int64) {
+	for _, n := range h.Nodes {
+		sum += n.Log.Reads()
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/distribution/members_test.go
@@ -0,0 +1,145 @@
+package distribution_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/cluster"
+	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/peer"
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+)
+
+// TestMain guards against goroutines that outlive a stopped agent.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func asRange(err error, out **platformlog.RangeError) bool { return errors.As(err, out) }
+
+func (h *harness) isReader(n *cluster.Node) bool {
+	return h.reader(n.Entry.Region) == n || h.secondReader(n.Entry.Region) == n
+}
+
+func (h *harness) secondReader(region string) *cluster.Node {
+	var members []membership.Member
+	for _, n := range h.Nodes {
+		members = append(members, n.Entry)
+	}
+	return h.node(membership.Readers(region, members)[1])
+}
+
+// everyNodeSees returns a check that all other nodes hold a status for one.
+func (h *harness) everyNodeSees(id string, want membership.Status) func() bool {
+	return func() bool {
+		return h.all(func(n *cluster.Node) bool { return n.Entry.ID == id || h.status(n, id) == want })
+	}
+}
+
+// TestDeathIsKnown guards against a dead node that stays in the tables, and
+// against a restarted one that stays out of them.
+func TestDeathIsKnown(t *testing.T) {
+	inCluster(t, 16, time.Hour, func(h *harness) {
+		h.Nodes[5].Kill()
+		took := h.eventually(7*time.Second, "the death is known", h.everyNodeSees("n005", membership.StatusDead))
+		assert.Assert(t, took > 3*time.Second, "dead after %s, before the silence limit", took)
+		h.Nodes[5].Start()
+		h.eventually(limit, "the restarted node is alive", h.everyNodeSees("n005", membership.StatusAlive))
+	})
+}
+
+// TestBadLinkEvictsNobody guards against one bad link, or one node that
+// reaches nobody, that makes a member dead for all.
+func TestBadLinkEvictsNobody(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		cut  func(a, b string) bool
+		want []string // nodes that may be seen as dead
+	}{
+		{name: "one link", cut: func(a, b string) bool { return a == "n004" && b == "n002" || a == "n002" && b == "n004" }},
+		{name: "between regions", cut: func(a, b string) bool { return (a[3]-'0')%2 != (b[3]-'0')%2 }},
+		{name: "one direction", cut: func(a, b string) bool { return a == "n004" && b == "n002" }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCluster(t, 16, time.Hour, func(h *harness) {
+				h.Net.SetCut(c.cut)
+				for range 120 {
+					time.Sleep(500 * time.Millisecond)
+					for _, n := range h.Nodes {
+						for _, o := range h.Nodes {
+							assert.Assert(t, h.status(n, o.Entry.ID) != membership.StatusDead, "%s holds %s for dead", n.Entry.ID, o.Entry.ID)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestLostNodeReturns guards against a node that was paused or cut past its
+// limit and stays dead for the others, or makes others dead when it returns.
+func TestLostNodeReturns(t *testing.T) {
+	cutOne := func(from, to string) bool { return from == "n006" || to == "n006" }
+	for _, c := range []struct {
+		name         string
+		lose, regain func(h *harness)
+	}{
+		{"paused", func(h *harness) { h.Net.Pause("n006") }, func(h *harness) { h.Net.Resume("n006") }},
+		{"cut", func(h *harness) { h.Net.SetCut(cutOne) }, func(h *harness) { h.Net.SetCut(func(string, string) bool { return false }) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCluster(t, 16, time.Hour, func(h *harness) {
+				c.lose(h)
+				h.eventually(7*time.Second, "the lost node is dead", h.everyNodeSees("n006", membership.StatusDead))
+				time.Sleep(5 * time.Second)
+				c.regain(h)
+				h.eventually(limit, "the node is alive for all", h.everyNodeSees("n006", membership.StatusAlive))
+				h.eventually(15*time.Second, "all are alive for all", func() bool {
+					return h.all(func(n *cluster.Node) bool { return len(h.alive(n)) == len(h.Nodes) })
+				})
+			})
+		})
+	}
+}
+
+// TestSilentConnectionReplaced guards against a node that is taken for dead
+// because a connection went silent while new ones work.
+func TestSilentConnectionReplaced(t *testing.T) {
+	inCluster(t, 16, time.Hour, func(h *harness) {
+		for _, n := range h.Nodes {
+			h.Net.Silence("n006", n.Entry.ID)
+		}
+		for range 60 {
+			time.Sleep(500 * time.Millisecond)
+			assert.Assert(t, h.all(func(n *cluster.Node) bool { return len(h.alive(n)) == len(h.Nodes) }))
+		}
+	})
+}
+
+// TestDrainIsToldAtOnce guards against a draining node that gets new calls
+// for longer than a few hops take.
+func TestDrainIsToldAtOnce(t *testing.T) {
+	inCluster(t, 16, time.Hour, func(h *harness) {
+		h.Nodes[7].Log.SetCut(true) // the log is no help
+		go func() { _ = h.Nodes[7].Agent().SetStatus(h.ctx, membership.StatusDraining) }()
+		h.eventually(time.Second, "the drain is known", h.everyNodeSees("n007", membership.StatusDraining))
+	})
+}
+
+// TestStatusNamesEveryNode guards against a node that a status leaves out,
+// the one that does not answer above all.
+func TestStatusNamesEveryNode(t *testing.T) {
+	inCluster(t, 16, time.Hour, func(h *harness) {
+		h.published("shop")
+		h.Nodes[9].Kill()
+		answer, err := h.Nodes[0].Agent().Status(h.ctx, peer.StatusRequest{Scope: peer.ScopeAll})
+		assert.NilError(t, err)
+		assert.Equal(t, len(answer.Rows), 16)
+		for _, r := range answer.Rows {
+			assert.Equal(t, r.Error != "", r.ID == "n009", "%+v", r)
+			assert.Equal(t, r.Ready, r.ID != "n009")
+		}
+	})
+}
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -59,7 +59,10 @@
 // startOnce looks for a target and reports whether the node reached it.
 func (a *Agent) startOnce(ctx context.Context) bool {
 	a.findPeers(ctx)
-	a.foundOnce.Do(func() { close(a.found) })
+	a.foundOnce.Do(func() {
+		a.renewTopology() // alone in its table the node would read the log
+		close(a.found)
+	})
 	t, ok := a.startTarget(ctx)
 	return ok && a.reach(ctx, t) || ctx.Err() != nil
 }
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,190 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func fleet(n int) []Member {
+	var out []Member
+	for i := range n {
+		out = append(out, Member{ID: fmt.Sprintf("n%03d", i), Region: fmt.Sprintf("r%d", i%2), Incarnation: 1, Status: StatusAlive})
+	}
+	return out
+}
+
+// TestLinksAreMutualAndConnected guards against nodes that no change reaches:
+// links that one side does not know, and regions that fall apart.
+func TestLinksAreMutualAndConnected(t *testing.T) {
+	for _, n := range []int{2, 3, 8, 30, 200, 870} {
+		members := fleet(n)
+		links, sum := map[string][]Member{}, 0
+		for _, m := range members {
+			links[m.ID] = Neighbours(m, members)
+			sum += len(links[m.ID])
+		}
+		for _, m := range members {
+			assert.Assert(t, len(links[m.ID]) >= min(linksPerNode, n/2-1), "%d nodes: %s has %d links", n, m.ID, len(links[m.ID]))
+			for _, o := range links[m.ID] {
+				assert.Equal(t, o.Region, m.Region)
+				assert.Assert(t, contains(links[o.ID], m.ID), "%s does not know its link to %s", o.ID, m.ID)
+			}
+		}
+		assert.Assert(t, float64(sum)/float64(n) <= 2*linksPerNode)
+		assert.Equal(t, reached(members[0], links), (n+1)/2)
+	}
+}
+
+func contains(members []Member, id string) bool {
+	for _, m := range members {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func reached(from Member, links map[string][]Member) int {
+	seen, queue := map[string]bool{from.ID: true}, []Member{from}
+	for len(queue) > 0 {
+		for _, m := range links[queue[0].ID] {
+			if !seen[m.ID] {
+				seen[m.ID] = true
+				queue = append(queue, m)
+			}
+		}
+		queue = queue[1:]
+	}
+	return len(seen)
+}
+
+// TestReaders guards against a role that many nodes take when one member
+// comes or goes.
+func TestReaders(t *testing.T) {
+	members := fleet(40)
+	before := NewTopology(members[0], members)
+	gone := before.Readers["r0"][0]
+	for i := range members {
+		if members[i].ID == gone {
+			members[i].Status = StatusDraining
+		}
+	}
+	after := NewTopology(members[0], members)
+	assert.Equal(t, len(after.Readers["r0"]), readersPerRegion)
+	assert.Equal(t, after.Readers["r0"][0], before.Readers["r0"][1])
+	assert.DeepEqual(t, Readers("r0", members), after.Readers["r0"])
+	assert.DeepEqual(t, after.Readers["r1"], before.Readers["r1"])
+	for _, m := range members {
+		topology := NewTopology(m, members)
+		assert.Equal(t, len(topology.Bridges) > 0, topology.IsReader(m))
+	}
+}
+
+// TestDeath guards against a death that is decided too early, too late, or
+// against a member that refuted it.
+func TestDeath(t *testing.T) {
+	type told struct {
+		by string
+		at time.Duration
+	}
+	for _, c := range []struct {
+		name       string
+		suspicions []told
+		neighbours int
+		refuted    bool
+		deadAt     time.Duration // 0 for never within a minute
+	}{
+		{name: "two neighbours", suspicions: []told{{"a", 0}, {"b", 0}}, neighbours: 8, deadAt: time.Second},
+		{name: "one neighbour twice", suspicions: []told{{"a", 0}, {"a", time.Second}}, neighbours: 8, deadAt: 10 * time.Second},
+		{name: "lone suspicion", suspicions: []told{{"a", 0}}, neighbours: 8, deadAt: 10 * time.Second},
+		{name: "few neighbours", suspicions: []told{{"a", 0}}, neighbours: 2, deadAt: time.Second},
+		{name: "second one late", suspicions: []told{{"a", 0}, {"b", 5 * time.Second}}, neighbours: 8, deadAt: 5 * time.Second},
+		{name: "refuted", suspicions: []told{{"a", 0}, {"b", 0}}, neighbours: 8, refuted: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table, d := NewTable(), NewDetector()
+			m := Member{ID: "x", Incarnation: 1, Sequence: 4, Status: StatusAlive}
+			table.Merge([]Member{m})
+			var deadAt time.Duration
+			for at := time.Duration(0); at <= time.Minute && deadAt == 0; at += time.Second / 2 {
+				for _, s := range c.suspicions {
+					if s.at == at {
+						d.Suspect(Suspicion{ID: "x", Incarnation: 1, Sequence: 4, By: s.by}, m, epoch.Add(at))
+					}
+				}
+				if c.refuted {
+					self, ok := Refute(m, Member{ID: "x", Incarnation: 1, Sequence: 4, Status: StatusDead})
+					assert.Assert(t, ok)
+					table.Merge([]Member{self})
+				}
+				if len(d.Dead(table, func(Member) int { return c.neighbours }, epoch.Add(at))) > 0 {
+					deadAt = at
+				}
+			}
+			assert.Equal(t, deadAt, c.deadAt)
+		})
+	}
+}
+
+// TestSilence guards against a new neighbour that counts as silent at once.
+func TestSilence(t *testing.T) {
+	d, m := NewDetector(), []Member{{ID: "x"}}
+	assert.Equal(t, len(d.Silent(m, epoch)), 0)
+	assert.Equal(t, len(d.Silent(m, epoch.Add(SilenceLimit-1))), 0)
+	assert.Equal(t, len(d.Silent(m, epoch.Add(SilenceLimit))), 1)
+	d.Heard("x", epoch.Add(SilenceLimit))
+	assert.Equal(t, len(d.Silent(m, epoch.Add(SilenceLimit+time.Second))), 0)
+	d.Forget(nil)
+	assert.Equal(t, len(d.Silent(m, epoch.Add(time.Hour))), 0)
+}
+
+// TestCompact guards against dead entries that stay for good, or leave so
+// early that a late message brings them back.
+func TestCompact(t *testing.T) {
+	table := NewTable()
+	m := Member{ID: "x", Incarnation: 1, Status: StatusDead}
+	table.Merge([]Member{m, {ID: "y", Incarnation: 1, Status: StatusAlive}})
+	assert.Equal(t, table.Compact(epoch), 0)
+	assert.Equal(t, table.Compact(epoch.Add(keepGone-1)), 0)
+	m.Incarnation, m.Status = 2, StatusAlive
+	table.Merge([]Member{m}) // it returned, so its time starts anew
+	assert.Equal(t, table.Compact(epoch.Add(keepGone)), 0)
+	m.Status = StatusLeft
+	table.Merge([]Member{m})
+	assert.Equal(t, table.Compact(epoch.Add(keepGone)), 0)
+	assert.Equal(t, table.Compact(epoch.Add(2*keepGone)), 1)
+	assert.Equal(t, len(table.All()), 1)
+}
+
+// TestMergeOrder guards against tables that differ because entries crossed:
+// any order of the same entries must give one table and one digest, and no
+// entry may make another one older.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entry := rapid.Custom(func(t *rapid.T) Member {
+			return Member{
+				ID:          rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"),
+				Incarnation: rapid.Int64Range(1, 3).Draw(t, "incarnation"),
+				Sequence:    rapid.Uint64Range(0, 2).Draw(t, "sequence"),
+				Status:      rapid.SampledFrom([]Status{StatusAlive, StatusSuspect, StatusDraining, StatusLeft, StatusDead}).Draw(t, "status"),
+			}
+		})
+		entries := rapid.SliceOfN(entry, 1, 12).Draw(t, "entries")
+		one, other := NewTable(), NewTable()
+		one.Merge(entries)
+		for _, e := range rapid.Permutation(entries).Draw(t, "order") {
+			before, had := other.Get(e.ID)
+			other.Merge([]Member{e})
+			after, _ := other.Get(e.ID)
+			assert.Assert(t, !had || !before.Newer(after))
+		}
+		assert.DeepEqual(t, one.All(), other.All())
+		assert.Equal(t, one.Digest(), other.Digest())
+	})
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,246 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+)
+
+// TestMain guards against goroutines that outlive a connection.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeNode answers with fixed values and counts.
+type fakeNode struct {
+	Handler
+	beats atomic.Int64
+	slow  bool          // Pull waits for the end of its connection
+	pulls chan struct{} // made inside the bubble
+}
+
+func (f *fakeNode) Hello(context.Context, HelloRequest) (HelloAnswer, error) {
+	return HelloAnswer{Node: membership.Member{ID: "b", Incarnation: 2}}, nil
+}
+
+func (f *fakeNode) Heartbeat(Heartbeat) { f.beats.Add(1) }
+
+func (f *fakeNode) Pull(ctx context.Context, r PullRequest) (PullAnswer, error) {
+	if f.pulls != nil {
+		select {
+		case <-f.pulls:
+		case <-ctx.Done():
+		}
+	}
+	return PullAnswer{Position: profile.Position{Era: 1, Offset: 7}}, nil
+}
+
+func (f *fakeNode) Claim(_ context.Context, claims json.RawMessage) (json.RawMessage, error) {
+	return claims, nil
+}
+
+func (f *fakeNode) Drain(context.Context) error { return errors.New("not now") }
+
+var nodeB = membership.Member{ID: "b", Incarnation: 2, PeerAddress: "b"}
+
+// pipeNet connects a pool with a server over net.Pipe and counts the dials.
+type pipeNet struct {
+	server *Server
+	ctx    context.Context
+	dials  atomic.Int64
+	dead   atomic.Bool
+}
+
+func (p *pipeNet) dial(context.Context, string) (net.Conn, error) {
+	p.dials.Add(1)
+	if p.dead.Load() {
+		return nil, errors.New("refused")
+	}
+	near, far := net.Pipe()
+	go p.server.serveConn(p.ctx, far)
+	return near, nil
+}
+
+func withPool(t *testing.T, node *fakeNode, serverToken, clientToken string, test func(t *testing.T, n *pipeNet, p *Pool)) {
+	synctest.Test(t, func(t *testing.T) {
+		if node.slow {
+			node.pulls = make(chan struct{})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		n := &pipeNet{ctx: ctx, server: NewServer(node, serverToken, &Counters{})}
+		p := NewPool(PoolConfig{Self: func() membership.Member { return membership.Member{ID: "a"} }, Token: clientToken, Dial: n.dial, Bytes: &Counters{}})
+		defer p.Close()
+		test(t, n, p)
+	})
+}
+
+// TestToken guards against nodes without the token.
+func TestToken(t *testing.T) {
+	for _, c := range []struct {
+		server, client string
+		ok             bool
+	}{{"", "", true}, {"", "any", true}, {"s3", "s3", true}, {"s3", "", false}, {"s3", "s4", false}, {"s3", "s3s3", false}} {
+		withPool(t, &fakeNode{}, c.server, c.client, func(t *testing.T, _ *pipeNet, p *Pool) {
+			_, err := p.Pull(t.Context(), nodeB, PullRequest{})
+			assert.Equal(t, err == nil, c.ok, "%+v: %v", c, err)
+		})
+	}
+}
+
+// TestNoHelloNoAnswer guards against a connection that skips hello and with
+// it the token.
+func TestNoHelloNoAnswer(t *testing.T) {
+	for _, method := range []string{methodPull, methodDump, methodClaim} {
+		withPool(t, &fakeNode{}, "s3", "s3", func(t *testing.T, n *pipeNet, _ *Pool) {
+			nc, _ := n.dial(t.Context(), "b")
+			c := newConn(t.Context(), nc, &Counters{}, refuse)
+			defer c.close()
+			assert.Assert(t, c.call(t.Context(), method, struct{}{}, nil) != nil)
+		})
+	}
+}
+
+// TestCalls guards against mixed answers and lost payloads and errors, and
+// against a connection per call.
+func TestCalls(t *testing.T) {
+	node := &fakeNode{}
+	withPool(t, node, "", "", func(t *testing.T, n *pipeNet, p *Pool) {
+		for range 3 {
+			assert.NilError(t, p.Heartbeat(t.Context(), nodeB, Heartbeat{ID: "a"}))
+		}
+		answer, err := p.Pull(t.Context(), nodeB, PullRequest{})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Position.Offset, int64(7))
+		raw, err := p.Claim(t.Context(), nodeB, json.RawMessage(`{"partition":3}`))
+		assert.NilError(t, err)
+		assert.Equal(t, string(raw), `{"partition":3}`)
+		assert.ErrorContains(t, p.Drain(t.Context(), nodeB), "not now")
+		assert.Equal(t, node.beats.Load(), int64(3))
+		assert.Equal(t, n.dials.Load(), int64(1))
+		assert.Assert(t, p.cfg.Bytes.Out.Load() > 0 && p.cfg.Bytes.In.Load() > 0)
+	})
+}
+
+// TestSlowCallBlocksNoOther guards against head-of-line blocking on one
+// connection, and against a call that outlives its connection.
+func TestSlowCallBlocksNoOther(t *testing.T) {
+	node := &fakeNode{slow: true}
+	withPool(t, node, "", "", func(t *testing.T, n *pipeNet, p *Pool) {
+		slow := make(chan error, 1)
+		go func() {
+			_, err := p.Pull(t.Context(), nodeB, PullRequest{})
+			slow <- err
+		}()
+		synctest.Wait()
+		_, err := p.Claim(t.Context(), nodeB, json.RawMessage(`1`))
+		assert.NilError(t, err)
+		p.Drop(nodeB.ID)
+		assert.Assert(t, errors.Is(<-slow, errClosed))
+		_, err = p.Claim(t.Context(), nodeB, json.RawMessage(`1`))
+		assert.NilError(t, err)
+		assert.Equal(t, n.dials.Load(), int64(2))
+	})
+}
+
+// TestSilentConnection guards against a caller that waits for good on a
+// connection on which nothing arrives any more, and proves that Probe
+// replaces it.
+func TestSilentConnection(t *testing.T) {
+	withPool(t, &fakeNode{slow: true}, "", "", func(t *testing.T, n *pipeNet, p *Pool) {
+		begin := time.Now()
+		_, err := p.Pull(t.Context(), nodeB, PullRequest{})
+		assert.Assert(t, errors.Is(err, context.DeadlineExceeded))
+		assert.Equal(t, time.Since(begin), callLimit)
+		old, _ := p.conns.Get(nodeB.ID)
+		_, err = p.Probe(t.Context(), nodeB, true)
+		assert.NilError(t, err)
+		<-old.conn.done
+		n.dead.Store(true)
+		_, err = p.Probe(t.Context(), nodeB, true)
+		assert.ErrorContains(t, err, "refused")
+	})
+}
+
+// TestState guards against a full state that is changed or cut on its way.
+func TestState(t *testing.T) {
+	full := FullState{TipID: "x", Checkpoint: &profile.Checkpoint{Era: 3, Through: 9, Recent: []string{"x"}}}
+	data, err := PackState(full)
+	assert.NilError(t, err)
+	got, err := UnpackState(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, full)
+	for _, bad := range [][]byte{nil, {1}, data[:len(data)/2]} {
+		_, err := UnpackState(bad)
+		assert.Assert(t, err != nil)
+	}
+}
+
+// TestRecordsKeepTheirBytes guards against records that change on their way,
+// those that are not JSON above all.
+func TestRecordsKeepTheirBytes(t *testing.T) {
+	for _, data := range []string{`{"id":"a"}`, "not JSON", "\xff\x00", ""} {
+		wire, err := json.Marshal(NewLogRecord(4, []byte(data)))
+		assert.NilError(t, err)
+		var got LogRecord
+		assert.NilError(t, json.Unmarshal(wire, &got))
+		assert.Equal(t, string(got.Data()), data)
+	}
+}
+
+// TestFrameLimit guards against a length that makes a node take memory, and
+// against a message that the other side would refuse.
+func TestFrameLimit(t *testing.T) {
+	huge := binary.AppendUvarint(nil, maxMessageBytes+1)
+	_, err := readFrame(bufio.NewReader(bytes.NewReader(huge)))
+	assert.Assert(t, errors.Is(err, errTooLarge))
+	params, _ := json.Marshal(strings.Repeat("x", maxMessageBytes))
+	assert.Assert(t, errors.Is(writeFrame(io.Discard, frame{Method: "pull", Params: params}), errTooLarge))
+}
+
+// FuzzFrame guards against input that breaks the reader, and against a frame
+// that is not the same after writing and reading.
+func FuzzFrame(f *testing.F) {
+	for _, m := range []frame{
+		{Method: methodHeartbeat, Params: json.RawMessage(`{"id":"a","pos":{"era":1,"offset":2}}`)},
+		{Method: methodPull, Params: json.RawMessage(`{"from":null}`), ID: new(uint64)},
+		{ID: new(uint64), Result: json.RawMessage(`[]`)},
+		{ID: new(uint64), Error: &Error{Code: codeFailed, Message: "no"}},
+	} {
+		var buf bytes.Buffer
+		assert.NilError(f, writeFrame(&buf, m))
+		f.Add(buf.Bytes())
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01})
+	f.Add([]byte{5, '{'})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := readFrame(bufio.NewReader(bytes.NewReader(data)))
+		if err != nil {
+			return
+		}
+		var buf bytes.Buffer
+		assert.NilError(t, writeFrame(&buf, m))
+		again, err := readFrame(bufio.NewReader(&buf))
+		assert.NilError(t, err)
+		assert.Equal(t, again.Method, m.Method)
+		s := NewServer(&fakeNode{}, "", &Counters{})
+		if m.Method == methodHeartbeat || m.Method == methodPull {
+			_ = s.notified(request{method: methodHeartbeat, params: m.Params})
+			_, _ = s.answer(t.Context(), request{method: methodPull, params: m.Params})
+		}
+	})
+}
