Use one event loop in the measurements

Cause: two people wrote an event loop each, and names collided after the merge. Conclusion: one loop serves all measurements in virtual time.

--- a/bench/convergence.go
+++ b/bench/convergence.go
@@ -74,7 +74,7 @@
 			share float64
 		}{{"p50", 0.5}, {"p99", 0.99}, {"max", 1}} {
 			report(Result{
-				Measure: "convergence_" + f.name + "_ms", Ours: percentile(ours, f.share), Baseline: percentile(baseline, f.share),
+				Measure: "convergence_" + f.name + "_ms", Ours: percentileMs(ours, f.share), Baseline: percentileMs(baseline, f.share),
 				Unit: "ms", Nodes: nodes, Seed: seed, Note: fmt.Sprintf("%d changes", convergenceChanges),
 			})
 		}
--- a/bench/crest.go
+++ b/bench/crest.go
@@ -36,10 +36,10 @@
 }
 
 func measureCrest(_ context.Context, seed int64, report func(Result)) error {
-	ours := runCrest(seed, func(q *queueEvents, done func(queueEnd)) queueServer {
+	ours := runCrest(seed, func(q *simulation, done func(queueEnd)) queueServer {
 		return newGateServer(q, admission.Config{Slots: crestSlots, Queue: crestQueue}, done)
 	})
-	fifo := runCrest(seed, func(q *queueEvents, done func(queueEnd)) queueServer {
+	fifo := runCrest(seed, func(q *simulation, done func(queueEnd)) queueServer {
 		return &fifoServer{events: q, free: crestSlots, done: done}
 	})
 	capacity := crestCapacity * crestLength.Seconds()
@@ -50,20 +50,20 @@
 	return nil
 }
 
-func runCrest(seed int64, build func(*queueEvents, func(queueEnd)) queueServer) crestResult {
-	q := newQueueEvents()
+func runCrest(seed int64, build func(*simulation, func(queueEnd)) queueServer) crestResult {
+	q := newSimulation()
 	from := q.now.Add(crestStart)
 	to := from.Add(crestLength)
 	var res crestResult
 	server := build(q, func(e queueEnd) { res.add(e, from, to) })
 	crestArrivals(q, server, rand.New(rand.NewPCG(uint64(seed), 1)), admission.Caller, from, to)
 	crestArrivals(q, server, rand.New(rand.NewPCG(uint64(seed), 2)), admission.Background, from, to)
-	q.run(to.Add(crestAfter))
+	q.runUntil(to.Add(crestAfter))
 	return res
 }
 
 // crestArrivals sends the calls of one priority.
-func crestArrivals(q *queueEvents, server queueServer, r *rand.Rand, p admission.Priority, from, to time.Time) {
+func crestArrivals(q *simulation, server queueServer, r *rand.Rand, p admission.Priority, from, to time.Time) {
 	var next func()
 	next = func() {
 		server.arrive(queueCall{
--- a/bench/events.go
+++ b/bench/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -33,12 +34,23 @@
 // run runs events until none is left.
 func (s *simulation) run() {
 	for len(s.queue) > 0 {
-		e := heap.Pop(&s.queue).(event)
-		s.now = e.at
-		e.run()
+		s.step()
 	}
 }
 
+// runUntil runs the events up to a time.
+func (s *simulation) runUntil(end time.Time) {
+	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
+		s.step()
+	}
+}
+
+func (s *simulation) step() {
+	e := heap.Pop(&s.queue).(event)
+	s.now = e.at
+	e.run()
+}
+
 // arrivals runs fn in a Poisson process of the given rate for a time.
 // exponential returns random numbers of that distribution with mean 1.
 func (s *simulation) arrivals(perSecond float64, length time.Duration, exponential func() float64, fn func()) {
@@ -88,3 +100,8 @@
 	i := min(int(share*float64(len(sorted))), len(sorted)-1)
 	return float64(sorted[i]) / float64(time.Millisecond)
 }
+
+// exponential draws a duration with the given mean.
+func exponential(r *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(r.ExpFloat64() * float64(mean))
+}
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -100,12 +100,3 @@
 	}
 	return sum
 }
-
-// percentile returns the value below which a share of the sorted values lies.
-func percentile(sorted []time.Duration, share float64) float64 {
-	if len(sorted) == 0 {
-		return 0
-	}
-	i := min(int(share*float64(len(sorted))), len(sorted)-1)
-	return float64(sorted[i]) / float64(time.Millisecond)
-}
--- a/bench/hol.go
+++ b/bench/hol.go
@@ -37,7 +37,7 @@
 		ours := runHOL(seed, slots, gateOf(cfg))
 		cfg.Unclassified = true
 		plain := runHOL(seed, slots, gateOf(cfg))
-		fifo := runHOL(seed, slots, func(q *queueEvents, done func(queueEnd)) queueServer {
+		fifo := runHOL(seed, slots, func(q *simulation, done func(queueEnd)) queueServer {
 			return &fifoServer{events: q, free: slots, done: done}
 		})
 		at := fmt.Sprintf("%d slots", slots)
@@ -50,16 +50,16 @@
 }
 
 func holReport(report func(Result), seed int64, name string, ours, fifo []time.Duration, note string) {
-	a, b := percentile(ours, holPercent99), percentile(fifo, holPercent99)
+	a, b := percentileMs(ours, holPercent99), percentileMs(fifo, holPercent99)
 	report(Result{Measure: name, Ours: a, Baseline: b, Unit: "ms", Seed: seed, Note: fmt.Sprintf("%s, ours/baseline %.2f", note, a/b)})
 }
 
-func gateOf(cfg admission.Config) func(*queueEvents, func(queueEnd)) queueServer {
-	return func(q *queueEvents, done func(queueEnd)) queueServer { return newGateServer(q, cfg, done) }
+func gateOf(cfg admission.Config) func(*simulation, func(queueEnd)) queueServer {
+	return func(q *simulation, done func(queueEnd)) queueServer { return newGateServer(q, cfg, done) }
 }
 
-func runHOL(seed int64, slots int, build func(*queueEvents, func(queueEnd)) queueServer) holResult {
-	q := newQueueEvents()
+func runHOL(seed int64, slots int, build func(*simulation, func(queueEnd)) queueServer) holResult {
+	q := newSimulation()
 	from := q.now.Add(holWarm)
 	var res holResult
 	server := build(q, func(e queueEnd) { res.add(e, from) })
@@ -72,7 +72,7 @@
 		q.after(exponential(r, gap), next)
 	}
 	q.after(0, next)
-	q.run(q.now.Add(holDuration))
+	q.runUntil(q.now.Add(holDuration))
 	return res
 }
 
--- a/bench/poison.go
+++ b/bench/poison.go
@@ -23,8 +23,8 @@
 	poisonRestart   = time.Second
 	poisonLead      = 5 * time.Second      // background before the first send, and after the last
 	clientDelay     = 8 * time.Millisecond // one way, as the next three
-	domainDelay     = 100 * time.Microsecond
-	regionDelay     = 500 * time.Microsecond
+	sameDomainDelay     = 100 * time.Microsecond
+	sameRegionDelay     = 500 * time.Microsecond
 	linkDelay       = 8 * time.Millisecond
 	relayHops       = 4 // most hops of word inside a region
 )
@@ -192,7 +192,7 @@
 			continue
 		}
 		hops := time.Duration(1 + r.random.IntN(relayHops))
-		wait := hops * regionDelay
+		wait := hops * sameRegionDelay
 		if n.region != from.region {
 			wait += linkDelay
 		}
--- a/bench/poisonnode.go
+++ b/bench/poisonnode.go
@@ -103,9 +103,9 @@
 	case n.region != to.region:
 		return linkDelay
 	case n.domain != to.domain:
-		return regionDelay
+		return sameRegionDelay
 	}
-	return domainDelay
+	return sameDomainDelay
 }
 
 // route starts a call that has come from a caller.
--- a/bench/queue_server.go
+++ b/bench/queue_server.go
@@ -31,7 +31,7 @@
 
 // fifoServer is the baseline: an unbounded queue, served in order.
 type fifoServer struct {
-	events *queueEvents
+	events *simulation
 	free   int
 	queue  []queueCall
 	done   func(queueEnd)
@@ -57,7 +57,7 @@
 
 // gateServer is a backend server behind the product's gate.
 type gateServer struct {
-	events     *queueEvents
+	events     *simulation
 	gate       *admission.Gate
 	waiting    []waitingCall
 	background map[*admission.Ticket]queueCall // background calls that run
@@ -75,7 +75,7 @@
 // gateTick is how often the gate looks for work to shed.
 const gateTick = 10 * time.Millisecond
 
-func newGateServer(events *queueEvents, cfg admission.Config, done func(queueEnd)) *gateServer {
+func newGateServer(events *simulation, cfg admission.Config, done func(queueEnd)) *gateServer {
 	s := &gateServer{events: events, gate: admission.NewGate(cfg), done: done, background: map[*admission.Ticket]queueCall{}}
 	s.tick()
 	return s
