--- a/bench/poison.go
+++ b/bench/poison.go
@@ -23,8 +23,8 @@
 	poisonRestart   = time.Second
 	poisonLead      = 5 * time.Second      // background before the first send, and after the last
 	clientDelay     = 8 * time.Millisecond // one way, as the next three
-	sameDomainDelay     = 100 * time.Microsecond
-	sameRegionDelay     = 500 * time.Microsecond
+	sameDomainDelay = 100 * time.Microsecond
+	sameRegionDelay = 500 * time.Microsecond
 	linkDelay       = 8 * time.Millisecond
 	relayHops       = 4 // most hops of word inside a region
 )
