--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -112,7 +112,7 @@
 	if !ok {
 		return
 	}
-	conn.begin(info.Reused)
+	conn.begin()
 	if info.Reused && !x.link.trusts(conn) {
 		conn.seal()
 	}
@@ -202,20 +202,14 @@
 func (s *sending) setBody(out *http.Request) {
 	if s.body != nil {
 		out.ContentLength = s.in.ContentLength
-		out.Trailer = make(http.Header, len(s.in.Trailer))
-		for name := range s.in.Trailer {
-			out.Trailer[name] = nil
-		}
-		body := s.body.reader(out.Trailer)
-		out.Body = body
-		context.AfterFunc(out.Context(), func() { _ = body.Close() })
+		out.Body = s.body.forSending(out)
 		return
 	}
 	switch out.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
 		// net/http's Transport repeats these methods by itself when they have
 		// no body. The identity coding keeps it from announcing one.
-		out.Body = emptyBody{}
+		out.Body = emptyBody()
 		out.TransferEncoding = []string{"identity"}
 	}
 }
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -266,9 +268,22 @@
 	return nil
 }
 
-// emptyBody stands for no body where net/http's Transport would send a call
-// without one twice by itself.
-type emptyBody struct{}
+// forSending returns the body for one sending. net/http's Transport writes a
+// body that it knows to be in memory together with the header, and it cannot
+// rewind this one, since the request has no GetBody.
+func (b *keptBody) forSending(out *http.Request) io.ReadCloser {
+	if b.in.ContentLength > 0 && b.complete() {
+		return io.NopCloser(bytes.NewReader(b.prefix()))
+	}
+	out.Trailer = make(http.Header, len(b.in.Trailer))
+	for name := range b.in.Trailer {
+		out.Trailer[name] = nil
+	}
+	r := b.reader(out.Trailer)
+	context.AfterFunc(out.Context(), func() { _ = r.Close() })
+	return r
+}
 
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-func (emptyBody) Close() error             { return nil }
+// emptyBody returns no body in a form that keeps net/http's Transport from
+// sending a call twice by itself.
+func emptyBody() io.ReadCloser { return io.NopCloser(bytes.NewReader(nil)) }
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -134,15 +135,11 @@
 	once    sync.Once
 	written atomic.Int64 // bytes given to Write, counted before they are written
 	base    atomic.Int64 // written when the present exchange began
-	reused  atomic.Bool  // an exchange before the present one has used the connection
 	sealed  atomic.Bool
 }
 
 // begin starts an exchange on the connection.
-func (c *trackedConn) begin(reused bool) {
-	c.base.Store(c.written.Load())
-	c.reused.Store(reused)
-}
+func (c *trackedConn) begin() { c.base.Store(c.written.Load()) }
 
 // seal makes later writes fail and reports whether bytes of the present
 // exchange may have been written. Write counts before it looks at sealed, so
@@ -168,12 +165,23 @@
 	return n, err
 }
 
-// Read implements net.Conn. Bytes that arrive on a reused connection before
-// its next request is sent are a late answer to an earlier call; the
-// connection fails instead of handing them to the next caller.
+// ReadFrom implements io.ReaderFrom with a pooled buffer, since net/http would
+// allocate one for each body.
+func (c *trackedConn) ReadFrom(r io.Reader) (int64, error) {
+	piece := pieces.Get().(*[pieceBytes]byte)
+	defer pieces.Put(piece)
+	return io.CopyBuffer(writerOnly{c}, r, piece[:])
+}
+
+// writerOnly hides ReadFrom from io.CopyBuffer.
+type writerOnly struct{ io.Writer }
+
+// Read implements net.Conn. Bytes that arrive before the request of an
+// exchange is sent answer another call or none; the connection fails instead
+// of handing them to the next caller.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.reused.Load() && c.written.Load() == c.base.Load() {
+	if n > 0 && c.written.Load() == c.base.Load() {
 		return 0, errUnsolicited
 	}
 	return n, err
--- a/internal/proxy/fault_test.go
+++ b/internal/proxy/fault_test.go
@@ -283,6 +283,45 @@
 	})
 }
 
+// TestRetryAfterIsHonoured guards against a second try before the time that a
+// refusal names, and against a refusal that reaches the caller although the
+// time would have been there.
+func TestRetryAfterIsHonoured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ran atomic.Int64
+		w := newWorld(t, "a", counting(&ran, func(string, http.ResponseWriter, *http.Request) {
+			time.Sleep(5 * time.Millisecond)
+		}), nil)
+		full := admission.NewGate(admission.Config{Slots: 1})
+		w.nodes["a"].guard.cfg.Gate = full
+		go w.call("POST", "/", "a", nil)
+		time.Sleep(time.Millisecond)
+		got := w.call("POST", "/", "a", nil)
+		assert.Equal(t, got.status, 200, got.body)
+		assert.Assert(t, got.took >= 10*time.Millisecond, "took %v", got.took)
+		assert.Equal(t, ran.Load(), int64(2))
+	})
+}
+
+// TestReturningServerStartsCold guards against full load on a backend server
+// that has just come back.
+func TestReturningServerStartsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ran atomic.Int64
+		w := newWorld(t, "a", counting(&ran, answerID), nil)
+		w.nodes["a"].guard.cfg.Gate = admission.NewGate(admission.Config{Slots: 18, ColdStart: 10 * time.Second})
+		slots := func() int { return w.nodes["a"].guard.cfg.Gate.Report(time.Now()).Slots }
+		assert.Equal(t, w.call("GET", "/", "", nil).status, 200)
+		assert.Equal(t, slots(), 18)
+		w.net.kill("backend-a")
+		assert.Equal(t, w.call("POST", "/", "a", nil).outcome, string(OutcomeNotRun))
+		w.serve("backend-a", &http.Server{Handler: counting(&ran, answerID)("a")})
+		time.Sleep(time.Second)
+		assert.Equal(t, w.call("GET", "/", "", nil).status, 200)
+		assert.Assert(t, slots() < 18)
+	})
+}
+
 // TestCallerLeaves guards against work that goes on for a caller that left.
 func TestCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -333,6 +372,9 @@
 		}
 		w.call("POST", "/", "", func(r *http.Request) { r.Header.Set(HeaderKey, "forged") })
 		assert.Equal(t, (<-seen).Get(HeaderKeyCaller), "")
+		got = w.call("GET", "/", "", func(r *http.Request) { r.Header.Set(HeaderDeadlineMs, "0") })
+		assert.Equal(t, got.status, http.StatusGatewayTimeout)
+		assert.Equal(t, got.outcome, string(OutcomeNotRun))
 		got = w.call("GET", "/", "", func(r *http.Request) { r.Header.Set(HeaderHops, "16") })
 		assert.Equal(t, got.status, http.StatusLoopDetected)
 		assert.Equal(t, got.outcome, string(OutcomeNotRun))
--- a/internal/proxy/once_test.go
+++ b/internal/proxy/once_test.go
@@ -38,14 +38,14 @@
 	t.Cleanup(tr.CloseIdleConnections)
 	log := platformlog.NewClient("log", tr)
 	for id, n := range w.nodes {
+		nodeCtx, kill := context.WithCancel(ctx)
+		w.alive[id] = kill
 		batcher := once.NewBatcher(once.BatcherConfig{Partition: testPartition}, log)
-		go func() { _ = batcher.Run(ctx) }()
+		go func() { _ = batcher.Run(nodeCtx) }()
 		n.guard.cfg.Once = once.NewCoordinator(once.CoordinatorConfig{
 			Self: once.Holder{Node: id, Incarnation: 1}, Reach: func(int) (once.Claimer, error) { return batcher, nil },
 		})
 		n.guard.cfg.GuardOf = w.guardOf
-		nodeCtx, kill := context.WithCancel(ctx)
-		w.alive[id] = kill
 		go func() { _ = n.guard.cfg.Once.Run(nodeCtx) }()
 	}
 	time.Sleep(time.Minute) // the streams' first records are older than the keys
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -104,6 +104,9 @@
 
 // stop must come before the answer is written to.
 func (l *lateHeader) stop() {
+	if l == nil {
+		return
+	}
 	l.timer.Stop()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -117,8 +120,10 @@
 	piece := pieces.Get().(*[pieceBytes]byte)
 	defer pieces.Put(piece)
 	var total int64
-	late := newLateHeader(rc)
-	defer late.stop()
+	var late *lateHeader
+	if a.ContentLength >= 0 && a.ContentLength <= promptBytes {
+		late = newLateHeader(rc)
+	}
 	for {
 		n, err := a.Read(piece[:])
 		late.stop()
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -78,6 +78,9 @@
 // tryAll sends the call until an answer is to be given to the caller.
 func (c *call) tryAll() *tried {
 	var last *tried
+	if c.remaining() <= 0 {
+		return &tried{failure: notRun(http.StatusGatewayTimeout, ReasonDeadline, "no time is left for the call")}
+	}
 	for {
 		choice, err := c.pick(last)
 		if err != nil {
