--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -1,5 +1,13 @@
 // Package quarantine finds requests that crash backend servers and refuses
 // them. It does no I/O and reads no clock.
+//
+// The node that routes a request holds a Pass of List.Send until the call
+// ends, sends it to none of the servers in Verdict.Avoid if there is another,
+// and sends the Entry of a suspect along. A suspect is not hedged, since that
+// endangers two servers at once. The node beside the server merges that entry,
+// holds a Pass of List.Run while the server runs the request, and reports
+// Crash or Success. Every entry returned goes to the node that sent the
+// request and to the neighbours.
 package quarantine
 
 import (
@@ -18,17 +26,15 @@
 type Fingerprint uint64
 
 // NewFingerprint returns the fingerprint of a request. Only the first
-// BodyBytes of the body count. The length of each part is hashed with it, so
-// that parts cannot run into each other.
+// BodyBytes of the body count. The length of each part before it is hashed
+// too, so that parts cannot run into each other.
 func NewFingerprint(method, host, path, query string, body []byte) Fingerprint {
 	d := xxhash.New()
 	for _, part := range []string{method, host, path, query} {
 		writeLength(d, len(part))
 		_, _ = d.WriteString(part) // never fails
 	}
-	body = body[:min(len(body), BodyBytes)]
-	writeLength(d, len(body))
-	_, _ = d.Write(body) // never fails
+	_, _ = d.Write(body[:min(len(body), BodyBytes)]) // never fails
 	return Fingerprint(d.Sum64())
 }
 
