--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -33,32 +33,50 @@
 // It has a single lock because the slots of one server are one resource. The
 // lock is a leaf: nothing else is locked and nothing blocks while it is held.
 type Gate struct {
-	cfg     Config
 	classes *Classes
 
 	mu       sync.Mutex
-	queue    queue     // guarded by mu
-	inUse    [2][2]int // slots in use by priority and class; guarded by mu
-	demand   demand    // guarded by mu
-	pressure pressure  // guarded by mu
-	started  time.Time // when the backend server started; guarded by mu
-	draining bool      // guarded by mu
+	cfg      Config               // guarded by mu
+	queue    queue                // guarded by mu
+	inUse    [2][2]int            // slots in use by priority and class; guarded by mu
+	demand   demand               // guarded by mu
+	pressure pressure             // guarded by mu
+	running  map[*Ticket]struct{} // background calls that were not asked to end; guarded by mu
+	started  time.Time            // when the backend server started; guarded by mu
+	draining bool                 // guarded by mu
 }
 
 // NewGate returns a Gate with all slots free.
 func NewGate(cfg Config) *Gate {
 	cfg.Slots = max(cfg.Slots, 1)
-	cfg.Queue = max(cfg.Queue, 0)
-	if cfg.LongShare <= 0 {
-		cfg.LongShare = DefaultLongShare
-	}
 	if cfg.BackgroundShare <= 0 {
 		cfg.BackgroundShare = DefaultBackgroundShare
 	}
 	if cfg.Classes == nil {
 		cfg.Classes = NewClasses()
 	}
-	return &Gate{cfg: cfg, classes: cfg.Classes}
+	g := &Gate{cfg: cfg, classes: cfg.Classes, running: make(map[*Ticket]struct{})}
+	g.SetPolicy(Policy{Queue: cfg.Queue, LongShare: cfg.LongShare})
+	return g
+}
+
+// Policy is the part of a Config that comes from the service's profile and
+// may change while calls run.
+type Policy struct {
+	Queue     int
+	LongShare float64 // 0 stands for DefaultLongShare
+}
+
+// SetPolicy changes the limits that a profile sets. Calls that wait beyond a
+// shorter queue keep their places.
+func (g *Gate) SetPolicy(p Policy) {
+	if p.LongShare <= 0 {
+		p.LongShare = DefaultLongShare
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cfg.Queue = max(p.Queue, 0)
+	g.cfg.LongShare = min(p.LongShare, 1)
 }
 
 // Started notes that the backend server started or restarted, which begins
@@ -76,9 +94,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.newTicketLocked(now, r, times)
-	if t.class == Short {
-		g.demand.arrive(now)
-	}
+	g.demand.arrive(t.class, now)
 	if d, refused := g.refuseLocked(now, t); refused {
 		return nil, d
 	}
@@ -106,6 +122,8 @@
 		arrived:  now,
 		latest:   r.Deadline.Add(-times.expected(now)),
 		ready:    make(chan Decision, 1),
+
+		preempted: make(chan struct{}),
 	}
 }
 
@@ -124,9 +142,10 @@
 }
 
 // roomLocked reports whether a call may enter, and makes room for it where it
-// has the better claim: a caller's call displaces a background one, and once
-// the queue stands the newest call displaces the oldest, which is the
-// likeliest to miss its deadline.
+// has the better claim: a caller's call displaces a background one, and in a
+// standing queue that costs deadlines the newest call displaces the oldest,
+// which is the likeliest to miss its own. Otherwise the newest is refused at
+// once, while it can still be tried elsewhere.
 func (g *Gate) roomLocked(now time.Time, t *Ticket) bool {
 	if g.queue.size < g.cfg.Queue || g.mayRunLocked(now, t.priority, t.class) {
 		return true
@@ -141,22 +160,24 @@
 	if t.priority == Background || g.cfg.Queue == 0 {
 		return false
 	}
+	g.preemptLocked()
 	if g.queue.size < g.queueLimitLocked() {
 		return true
 	}
-	if !g.queue.standing(now) {
+	oldest := g.queue.oldest(Caller)
+	if !g.queue.standing(now) || !oldest.late(now) {
 		return false
 	}
-	g.shedLocked(now, g.queue.oldest(Caller), ReasonOverloaded)
+	g.shedLocked(now, oldest, ReasonOverloaded)
 	return true
 }
 
-// queueLimitLocked returns the bound on waiting callers. It is twice as high
-// while a background call still runs, since no caller's work is shed before
-// background work.
+// queueLimitLocked returns the bound on waiting callers. It is higher while a
+// background call still ends, since no caller's work is shed before background
+// work.
 func (g *Gate) queueLimitLocked() int {
 	if g.backgroundInUse() > 0 {
-		return 2 * g.cfg.Queue
+		return backgroundGrace * g.cfg.Queue
 	}
 	return g.cfg.Queue
 }
@@ -194,11 +215,11 @@
 	case stateWaiting:
 		g.queue.remove(t, now)
 		t.state = stateDone
-		g.grantLocked(now)
 		return false
 	case stateRunning:
 		t.state = stateDone
 		g.inUse[t.priority][t.class]--
+		delete(g.running, t)
 		learned := ok && served > 0
 		if learned {
 			g.demand.complete(t.class, served)
@@ -234,6 +255,7 @@
 func (g *Gate) noteShedLocked(now time.Time, t *Ticket) {
 	if t.priority == Caller {
 		g.pressure.lastShed = now
+		g.preemptLocked()
 	}
 }
 
--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -11,6 +11,10 @@
 	// calmAfter is how long no caller may have waited before background work
 	// gets more than its share, so that it does not slip in between two calls.
 	calmAfter = 100 * time.Millisecond
+	// backgroundGrace is how many times longer the queue may be while background
+	// calls that began before a surge are cancelled: time for a cancellation to
+	// reach the backend server.
+	backgroundGrace = 2
 	// shedMemory is how long background work gets no slot after a caller's
 	// call was shed.
 	shedMemory = time.Second
@@ -32,6 +36,9 @@
 		g.queue.remove(t, now)
 		t.state = stateRunning
 		g.inUse[t.priority][t.class]++
+		if t.priority == Background {
+			g.running[t] = struct{}{}
+		}
 		t.ready <- Decision{Verdict: Admitted}
 	}
 	if g.queue.waiting(Caller) > 0 {
@@ -49,28 +56,17 @@
 	return nil
 }
 
-// pickOfLocked chooses between the short and the long call that are next. When
-// both may run, the class below its part of the slots goes first: short work
-// is owed the kept slots, long work all others, so neither can starve.
+// pickOfLocked chooses between the long and the short call that are next. Long
+// work goes first where it may run at all: the kept slots are closed to it, so
+// short work has those, and neither can starve.
 func (g *Gate) pickOfLocked(now time.Time, p Priority) *Ticket {
-	short, long := g.queue.next(p, Short, now), g.queue.next(p, Long, now)
-	if short != nil && !g.mayRunLocked(now, p, Short) {
-		short = nil
-	}
-	if long != nil && !g.mayRunLocked(now, p, Long) {
-		long = nil
-	}
-	switch {
-	case short == nil:
-		return long
-	case long == nil:
-		return short
-	}
-	limit := g.limitLocked(now)
-	if g.classInUse(Short) < g.keptLocked(now, limit) {
-		return short
+	for _, c := range []Class{Long, Short} {
+		t := g.queue.next(p, c, now)
+		if t != nil && g.mayRunLocked(now, p, c) {
+			return t
+		}
 	}
-	return long
+	return nil
 }
 
 // mayRunLocked reports whether the slots in use leave one for such a call.
@@ -96,15 +92,19 @@
 	return max(1, int(share*float64(g.cfg.Slots)))
 }
 
-// keptLocked returns the slots kept for short work: twice its measured demand
-// and one more, at most what the share of long work leaves.
+// keptLocked returns the slots kept for short work, at most what the share of
+// long work leaves. Short work gets its measured demand, and its square root
+// more against bursts as far as the demand of long work leaves room. Keeping
+// more makes long calls wait several times longer and gains short ones little.
 func (g *Gate) keptLocked(now time.Time, limit int) int {
-	need := g.demand.shortSlots(now)
-	if need == 0 {
+	short, long := g.demand.slots(Short, now), g.demand.slots(Long, now)
+	if short == 0 {
 		return 0
 	}
+	least := int(math.Ceil(short))
+	room := limit - int(math.Ceil(long))
+	kept := min(int(math.Ceil(short+math.Sqrt(short))), max(least, room))
 	most := int(float64(limit) * (1 - g.cfg.LongShare))
-	kept := int(math.Ceil(2*need)) + 1
 	return max(0, min(kept, most, limit-1))
 }
 
@@ -124,6 +124,14 @@
 	return limit
 }
 
+// preemptLocked asks the running background calls to end.
+func (g *Gate) preemptLocked() {
+	for t := range g.running {
+		close(t.preempted)
+		delete(g.running, t)
+	}
+}
+
 func (g *Gate) classInUse(c Class) int {
 	return g.inUse[Caller][c] + g.inUse[Background][c]
 }
