--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/peer"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 )
 
@@ -14,13 +15,14 @@
 	Position   *profile.Position `json:"position,omitempty"`
 	Generation uint64            `json:"generation"`
 	Ready      bool              `json:"ready"`
+	Draining   bool              `json:"draining"`
 }
 
 // Status returns the node's own status.
 func (n *Node) Status() Status {
-	s := Status{ID: n.settings.Node.ID, Generation: n.holder.Published()}
+	s := Status{ID: n.settings.Node.ID, Generation: n.holder.Published(), Draining: n.Draining()}
 	if g := n.holder.Latest(); g != nil {
-		s.Position, s.Ready = &g.Position, true
+		s.Position, s.Ready = &g.Position, !s.Draining
 	}
 	return s
 }
@@ -32,15 +34,36 @@
 	mux.Handle("GET /metrics", n.metrics.Handler)
 	mux.Handle("GET /dump", n.dump)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(n.Status())
+		writeJSON(w, n.Status())
 	})
+	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
+		n.Drain()
+		w.WriteHeader(http.StatusAccepted)
+	})
+	mux.HandleFunc("GET /v1/nodes", n.serveNodes)
+	mux.HandleFunc("GET /v1/quarantine", n.serveQuarantine)
+	mux.HandleFunc("POST /v1/quarantine/{fingerprint}/lift", n.serveLift)
 	return mux
 }
 
+// serveNodes answers with the status of every node in the system.
+func (n *Node) serveNodes(w http.ResponseWriter, r *http.Request) {
+	answer, err := n.agent.Status(r.Context(), peer.StatusRequest{Scope: peer.ScopeAll})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writeJSON(w, answer)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the caller has gone when this fails
+}
+
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.Status().Ready {
-		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		http.Error(w, "no configuration yet, or draining", http.StatusServiceUnavailable)
 		return
 	}
 	fmt.Fprintln(w, "ready")
@@ -49,5 +72,6 @@
 func (n *Node) registerDumps() {
 	n.dump.Register("status", func() any { return n.Status() })
 	n.dump.Register("members", func() any { return n.table.All() })
+	n.dump.Register("peer_bytes", func() any { return n.PeerBytes() })
 	n.dump.Register("config", func() any { return n.agent.State() })
 }
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -23,6 +23,7 @@
 	budgets    *retry.Budgets
 	latencies  *retry.Latencies
 	quarantine *quarantine.List
+	suspects   *suspects
 	gate       *admission.Gate
 	once       *once.Coordinator
 	claims     *claimers
@@ -37,10 +38,11 @@
 	c.budgets = retry.NewBudgets()
 	c.latencies = retry.NewLatencies()
 	c.quarantine = quarantine.NewList(quarantine.Config{})
+	c.suspects = newSuspects()
 	c.gate = admission.NewGate(admission.Config{
 		Slots: n.settings.BackendServer.Slots, Queue: defaultQueue, ColdStart: admission.DefaultColdStart,
 	})
-	c.claims = newClaimers(log)
+	c.claims = newClaimers(self.ID, log, n.table, n.peers.pool)
 	c.once = once.NewCoordinator(once.CoordinatorConfig{
 		Self: once.Holder{Node: self.ID, Incarnation: self.Incarnation}, Reach: c.claims.reach,
 	})
@@ -48,11 +50,12 @@
 	c.nodes = proxy.NewLink(proxy.LinkConfig{})
 	n.front = proxy.NewFront(proxy.FrontConfig{
 		Holder: n.holder, Link: c.nodes, Balancer: balance.NewBalancer(c.stats, locality(self), rand.Uint64), Stats: c.stats,
-		Budgets: c.budgets, Latencies: c.latencies, Quarantine: c.quarantine,
+		Budgets: c.budgets, Latencies: c.latencies, Quarantine: c.quarantine, News: c.suspects.tell,
 	})
 	n.guard = proxy.NewGuard(proxy.GuardConfig{
 		Self: self.ID, Address: n.settings.BackendServer.Address, Link: c.backend, Peers: c.nodes,
 		Gate: c.gate, Once: c.once, Quarantine: c.quarantine, InFlight: quarantine.NewInFlight(), GuardOf: n.guardOf,
+		News: c.suspects.tell,
 	})
 }
 
@@ -96,7 +99,8 @@
 	add(func() { every(ctx, gateEvery, n.calls.gate.Tick) })
 	add(func() { every(ctx, pruneEvery, n.pruneCalls) })
 	add(func() { _ = n.calls.once.Run(ctx) })
-	add(func() { n.calls.claims.run(ctx) })
+	add(func() { n.sendSuspects(ctx) })
+	add(func() { n.calls.claims.run(ctx, n.agent.ReadyDone()) })
 }
 
 func (n *Node) pruneCalls(now time.Time) {
@@ -124,5 +128,6 @@
 func (n *Node) registerCallDumps() {
 	n.dump.Register("servers", func() any { return n.calls.stats.Views() })
 	n.dump.Register("load", func() any { return n.calls.gate.Report(time.Now()) })
+	n.dump.Register("claims", func() any { return n.calls.claims.views() })
 	n.dump.Register("quarantine", func() any { return n.calls.quarantine.Entries(time.Now()) })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,11 +30,16 @@
 	holder    *snapshot.Holder
 	table     *membership.Table
 	agent     *distribution.Agent
+	peers     peers
 	front     *proxy.Front
 	guard     *proxy.Guard
 	calls     calls
 	listeners listeners
-	drainNow  chan struct{} // closed by the first Drain
+	servers   servers       // of calls and guard; the admin server outlives a drain
+	draining  chan struct{} // closed by the first Drain
+	drainOnce sync.Once
+	stopped   chan struct{} // closed when the node ends
+	stopOnce  sync.Once
 }
 
 type listeners struct {
@@ -51,11 +56,11 @@
 		settings: s, logger: logger, listeners: l,
 		dump: telemetry.NewDumper(), metrics: telemetry.NewMetrics(),
 		holder: snapshot.NewHolder(), table: membership.NewTable(),
-		drainNow: make(chan struct{}),
+		draining: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	log := platformlog.NewClient(s.Log.Address, nil)
 	self := n.self()
-	n.agent = distribution.NewAgent(log, self, n.table, n.holder, logger)
+	n.newAgent(log, self)
 	n.newCalls(log, self)
 	n.registerDumps()
 	n.registerCallDumps()
@@ -104,34 +109,21 @@
 // WriteDump writes the state of every part.
 func (n *Node) WriteDump(w io.Writer) error { return n.dump.Write(w) }
 
-// Run serves until the context ends or a part fails.
+// Run serves until the context ends, a drain is done, or a part fails.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer n.metrics.Close()
 	var g run.Group
 	g.Add(func() error { return n.agent.Run(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return n.runMetrics(ctx) }, func(error) { cancel() })
 	n.addCalls(ctx, &g)
-	n.serve(&g, "calls", n.listeners.calls, n.front)
-	n.serve(&g, "guard", n.listeners.guard, n.guard)
+	n.servePeers(ctx, &g)
+	g.Add(func() error { return n.runDrain(ctx) }, func(error) { cancel() })
+	n.servers.add(n.serve(&g, "calls", n.listeners.calls, n.front))
+	n.servers.add(n.serve(&g, "guard", n.listeners.guard, n.guard))
 	n.serve(&g, "admin", n.listeners.admin, n.adminHandler())
 	g.Add(func() error { <-ctx.Done(); return nil }, func(error) { cancel() })
 	n.logger.Info("node_started", "node", n.settings.Node.ID, "calls", n.CallsAddress(), "admin", n.AdminAddress())
 	return g.Run()
 }
-
-const shutdownLimit = 5 * time.Second
-
-func (n *Node) serve(g *run.Group, name string, ln net.Listener, h http.Handler) {
-	srv := proxy.NewServer(h)
-	g.Add(func() error {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrapf(err, "serve %s", name)
-		}
-		return nil
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
-		defer cancel()
-		_ = srv.Shutdown(ctx)
-	})
-}
