Wait in the demo until every node knows all others

Change: the status tells the number of members that calls may be sent to; the demo waits for all of them.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -94,6 +94,22 @@
 		d.nodes = append(d.nodes, m)
 		fmt.Fprintf(d.out, "   node %s: calls %s, admin %s, backend server %s\n", m.id, m.node.CallsAddress(), m.node.AdminAddress(), m.backend.address)
 	}
+	return d.awaitMembers(ctx)
+}
+
+// awaitMembers waits until every node knows all others.
+func (d *Demo) awaitMembers(ctx context.Context) error {
+	for _, m := range d.nodes {
+		err := until(ctx, func() error {
+			if known := m.node.Status().Members; known != nodeCount {
+				return errors.Newf("node %s knows %d of %d nodes", m.id, known, nodeCount)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -16,17 +16,28 @@
 	Generation uint64            `json:"generation"`
 	Ready      bool              `json:"ready"`
 	Draining   bool              `json:"draining"`
+	Members    int               `json:"members"` // nodes that new calls may be sent to
 }
 
 // Status returns the node's own status.
 func (n *Node) Status() Status {
-	s := Status{ID: n.settings.Node.ID, Generation: n.holder.Published(), Draining: n.Draining()}
+	s := Status{ID: n.settings.Node.ID, Generation: n.holder.Published(), Draining: n.Draining(), Members: n.routable()}
 	if g := n.holder.Latest(); g != nil {
 		s.Position, s.Ready = &g.Position, !s.Draining
 	}
 	return s
 }
 
+func (n *Node) routable() int {
+	count := 0
+	for _, m := range n.table.All() {
+		if m.Routable() {
+			count++
+		}
+	}
+	return count
+}
+
 func (n *Node) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -30,13 +30,7 @@
 	status := n.Status()
 	set(telemetry.MetricReady, flag(status.Ready))
 	set(telemetry.MetricDraining, flag(status.Draining))
-	routable := 0
-	for _, m := range n.table.All() {
-		if m.Routable() {
-			routable++
-		}
-	}
-	set(telemetry.MetricMembers, float64(routable))
+	set(telemetry.MetricMembers, float64(status.Members))
 	g := n.holder.Latest()
 	if g == nil {
 		return
