Count calls, slots and peer bytes; make the state dump whole

Cause: /metrics told nothing of calls, and /dump was empty, since one part could not be encoded as JSON and its error hid the others. Change: proxy.Observe reports each call; counters by side, outcome and reason, a histogram of times, gauges of the gate, quarantine, claims and inner protocol. The dump encodes each part alone and gains generation, budgets and peers. Conclusion: the process test checks the dump of a node.

--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -164,6 +164,22 @@
 	return s
 }
 
+// assertDump guards against a state dump that lacks a part or cannot be
+// encoded.
+func assertDump(t *testing.T, n *startedNode) {
+	t.Helper()
+	resp, err := http.Get("http://" + n.Admin + "/dump")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	var parts map[string]json.RawMessage
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&parts))
+	for _, name := range []string{"status", "members", "peers", "config", "generation", "servers", "load", "claims", "quarantine"} {
+		text, ok := parts[name]
+		assert.Assert(t, ok, name)
+		assert.Assert(t, !strings.Contains(string(text), `"error"`), "%s: %s", name, text)
+	}
+}
+
 // awaitAnswer waits until calls through every node get the wanted status and,
 // unless empty, come from the wanted service.
 func awaitAnswer(t *testing.T, nodes []*startedNode, wantStatus int, wantService string) {
@@ -200,6 +216,8 @@
 		assert.Equal(t, header.Get("Goldcrest-Outcome"), "ran")
 	}
 
+	assertDump(t, nodes[0])
+
 	out, code = ctl(t, "publish", "--log", log, writeProfile(t, "agenda"))
 	assert.Equal(t, code, 0, out)
 	awaitAnswer(t, nodes, http.StatusOK, "agenda")
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/peer"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
@@ -84,5 +85,49 @@
 	n.dump.Register("status", func() any { return n.Status() })
 	n.dump.Register("members", func() any { return n.table.All() })
 	n.dump.Register("peer_bytes", func() any { return n.PeerBytes() })
-	n.dump.Register("config", func() any { return n.agent.State() })
+	n.dump.Register("config", func() any { return n.configView() })
+	n.dump.Register("generation", func() any { return n.generationView() })
+	n.dump.Register("peers", func() any { return n.agent.Neighbours() })
+}
+
+// configView is the configuration in the state dump.
+type configView struct {
+	Position profile.Position  `json:"position"`
+	Entries  []profile.Entry   `json:"entries"`
+	Refused  []profile.Refusal `json:"refused"`
+}
+
+func (n *Node) configView() *configView {
+	s := n.agent.State()
+	if s == nil {
+		return nil
+	}
+	return &configView{Position: s.Position, Entries: s.Sorted(), Refused: s.Refused}
+}
+
+// generationView is the generation that calls use, in the state dump.
+type generationView struct {
+	Number   uint64             `json:"number"`
+	Position profile.Position   `json:"position"`
+	Routes   []string           `json:"routes"`   // profile/route, in the order of matching
+	HeldBack []string           `json:"heldBack"` // routes whose service has no backend server here
+	Budgets  map[string]float64 `json:"budgets"`  // retries left, by service
+}
+
+func (n *Node) generationView() *generationView {
+	g := n.holder.Latest()
+	if g == nil {
+		return nil
+	}
+	v := &generationView{Number: g.Number, Position: g.Position, Budgets: map[string]float64{}}
+	for _, r := range g.Routes {
+		v.Routes = append(v.Routes, r.ID)
+	}
+	for _, r := range g.HeldBack {
+		v.HeldBack = append(v.HeldBack, r.ID)
+	}
+	for name := range g.Services {
+		v.Budgets[name] = n.calls.budgets.Available(name, time.Now())
+	}
+	return v
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 	"github.com/goldcrestshed/goldcrestshed/internal/telemetry"
 )
 
@@ -31,6 +34,7 @@
 	set(telemetry.MetricReady, flag(status.Ready))
 	set(telemetry.MetricDraining, flag(status.Draining))
 	set(telemetry.MetricMembers, float64(status.Members))
+	n.updateCallGauges(set)
 	g := n.holder.Latest()
 	if g == nil {
 		return
@@ -42,6 +46,36 @@
 	set(telemetry.MetricRoutesHeld, float64(len(g.HeldBack)))
 }
 
+func (n *Node) updateCallGauges(set func(name string, v float64)) {
+	now := time.Now()
+	load := n.calls.gate.Report(now)
+	set(telemetry.MetricSlots, float64(load.Slots))
+	set(telemetry.MetricSlotsBusy, float64(load.InUse))
+	set(telemetry.MetricQueue, float64(load.Queued))
+	set(telemetry.MetricQuarantine, float64(len(n.calls.quarantine.Entries(now))))
+	set(telemetry.MetricBatchers, float64(n.calls.claims.local.Len()))
+	bytes := n.PeerBytes()
+	set(telemetry.MetricPeerBytesIn, float64(bytes.In))
+	set(telemetry.MetricPeerBytesOut, float64(bytes.Out))
+}
+
+// callSecondsBuckets span a cached read to a long download.
+var callSecondsBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+// recorder returns the function that counts the calls of one side.
+func (n *Node) recorder(side string) func(proxy.Observation) {
+	scope := n.metrics.Scope.Tagged(map[string]string{"side": side})
+	seconds := scope.Histogram(telemetry.MetricCallSeconds, callSecondsBuckets)
+	return func(o proxy.Observation) {
+		outcome := string(o.Outcome)
+		if outcome == "" {
+			outcome = "cut"
+		}
+		scope.Tagged(map[string]string{"outcome": outcome, "reason": o.Reason}).Counter(telemetry.MetricCalls).Inc(1)
+		seconds.RecordDuration(o.Elapsed)
+	}
+}
+
 func flag(b bool) float64 {
 	if b {
 		return 1
--- /dev/null
+++ b/internal/proxy/observe.go
@@ -0,0 +1,50 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+)
+
+// Observation is one call as its caller saw it.
+type Observation struct {
+	Outcome Outcome // empty when the connection was cut
+	Reason  string  // empty when the call ran
+	Status  int     // 0 when the connection was cut before an answer
+	Elapsed time.Duration
+}
+
+// Observe returns a handler that reports each call to record when it ends.
+func Observe(h http.Handler, record func(Observation)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		o := &observedWriter{ResponseWriter: w}
+		begun := time.Now()
+		whole := false
+		defer func() {
+			seen := Observation{Status: o.status, Elapsed: time.Since(begun)}
+			if whole {
+				seen.Outcome = Outcome(w.Header().Get(HeaderOutcome))
+				seen.Reason = w.Header().Get(HeaderReason)
+			}
+			record(seen)
+		}()
+		h.ServeHTTP(o, r)
+		whole = true
+	})
+}
+
+// observedWriter notes the status of an answer.
+type observedWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// Unwrap lets http.ResponseController reach the writer below.
+func (o *observedWriter) Unwrap() http.ResponseWriter { return o.ResponseWriter }
+
+// WriteHeader notes the status, but not that of informational answers.
+func (o *observedWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		o.status = status
+	}
+	o.ResponseWriter.WriteHeader(status)
+}
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -25,6 +25,15 @@
 	MetricMembers        = "members"
 	MetricReady          = "ready"
 	MetricDraining       = "draining"
+	MetricCalls          = "calls"
+	MetricCallSeconds    = "call_seconds"
+	MetricSlots          = "slots"
+	MetricSlotsBusy      = "slots_busy"
+	MetricQueue          = "queue"
+	MetricQuarantine     = "quarantine_entries"
+	MetricPeerBytesIn    = "peer_bytes_in"
+	MetricPeerBytesOut   = "peer_bytes_out"
+	MetricBatchers       = "claim_batchers"
 )
 
 // Catalog lists every metric of a node.
@@ -37,6 +46,15 @@
 	{MetricMembers, "gauge", "nodes", "nodes that new calls may be sent to"},
 	{MetricReady, "gauge", "0 or 1", "whether the node serves"},
 	{MetricDraining, "gauge", "0 or 1", "whether the node is leaving"},
+	{MetricCalls, "counter", "calls", "calls that ended; tags side (front, guard), outcome (ran, not_run, unknown, cut) and reason"},
+	{MetricCallSeconds, "histogram", "seconds", "time of calls from the request's header to the end of the answer; tag side"},
+	{MetricSlots, "gauge", "slots", "calls that the backend server may run at once now"},
+	{MetricSlotsBusy, "gauge", "slots", "calls that the backend server runs"},
+	{MetricQueue, "gauge", "calls", "calls that wait for a slot of the backend server"},
+	{MetricQuarantine, "gauge", "requests", "requests under suspicion or in quarantine"},
+	{MetricPeerBytesIn, "gauge", "bytes", "bytes received on the inner protocol since the start"},
+	{MetricPeerBytesOut, "gauge", "bytes", "bytes sent on the inner protocol since the start"},
+	{MetricBatchers, "gauge", "partitions", "partitions of claims that this node batches"},
 }
 
 // Events lists every log event at level info and above.
--- a/internal/telemetry/catalog_test.go
+++ b/internal/telemetry/catalog_test.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"encoding/json"
 	"io/fs"
 	"net/http/httptest"
 	"os"
@@ -52,3 +53,17 @@
 	m.Handler.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	return w.Body.String()
 }
+
+// TestDumpSurvivesBadPart guards against one part that cannot be encoded and
+// hides the state of all others.
+func TestDumpSurvivesBadPart(t *testing.T) {
+	d := NewDumper()
+	d.Register("good", func() any { return 7 })
+	d.Register("bad", func() any { return map[struct{ A int }]int{{1}: 1} })
+	var b strings.Builder
+	assert.NilError(t, d.Write(&b))
+	var parts map[string]json.RawMessage
+	assert.NilError(t, json.Unmarshal([]byte(b.String()), &parts))
+	assert.Equal(t, string(parts["good"]), "7")
+	assert.Assert(t, strings.Contains(string(parts["bad"]), "error"))
+}
--- a/internal/telemetry/dump.go
+++ b/internal/telemetry/dump.go
@@ -32,15 +32,25 @@
 	d.mu.Lock()
 	parts := maps.Clone(d.parts)
 	d.mu.Unlock()
-	out := make(map[string]any, len(parts))
+	out := make(map[string]json.RawMessage, len(parts))
 	for _, name := range slices.Sorted(maps.Keys(parts)) {
-		out[name] = parts[name]()
+		out[name] = encodePart(parts[name]())
 	}
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
 	return enc.Encode(out)
 }
 
+// encodePart encodes the state of a part, or the reason why it cannot be, so
+// that one part never hides the others.
+func encodePart(state any) json.RawMessage {
+	data, err := json.Marshal(state)
+	if err != nil {
+		data, _ = json.Marshal(map[string]string{"error": err.Error()}) // strings always encode
+	}
+	return data
+}
+
 // ServeHTTP answers with the dump.
 func (d *Dumper) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
