--- a/bench/convergence.go
+++ b/bench/convergence.go
@@ -76,10 +76,10 @@
 			name  string
 			share float64
 		}{{"p50", 0.5}, {"p99", 0.99}, {"max", 1}} {
-			base := percentile(t.polled, f.share)
+			base := percentileMs(t.polled, f.share)
 			note := fmt.Sprintf("%d changes", convergenceChanges)
-			report(Result{Measure: "convergence_" + f.name + "_ms", Ours: percentile(t.inForce, f.share), Baseline: base, Unit: "ms", Nodes: nodes, Seed: seed, Note: note})
-			report(Result{Measure: "convergence_held_" + f.name + "_ms", Ours: percentile(t.held, f.share), Baseline: base, Unit: "ms", Nodes: nodes, Seed: seed, Note: note})
+			report(Result{Measure: "convergence_" + f.name + "_ms", Ours: percentileMs(t.inForce, f.share), Baseline: base, Unit: "ms", Nodes: nodes, Seed: seed, Note: note})
+			report(Result{Measure: "convergence_held_" + f.name + "_ms", Ours: percentileMs(t.held, f.share), Baseline: base, Unit: "ms", Nodes: nodes, Seed: seed, Note: note})
 		}
 	}
 	return nil
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/run"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 )
 
 const (
@@ -45,12 +46,7 @@
 // serve adds an HTTP server to the group. Stopping the group ends it within
 // shutdownLimit; a drain has shut it down before.
 func (n *Node) serve(g *run.Group, name string, ln net.Listener, h http.Handler) *http.Server {
-	srv := &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Minute,
-		MaxHeaderBytes: maxHeaderBytes, Protocols: &http.Protocols{},
-	}
-	srv.Protocols.SetHTTP1(true)
-	srv.Protocols.SetUnencryptedHTTP2(true)
+	srv := proxy.NewServer(h)
 	g.Add(func() error {
 		err := srv.Serve(ln)
 		if !errors.Is(err, http.ErrServerClosed) {
@@ -99,8 +95,8 @@
 		return nil
 	case <-n.draining:
 	}
-	n.logger.Info("drain_started", "limit", n.settings.Drain.Limit.D())
 	n.guard.Drain()
+	n.logger.Info("drain_started", "limit", n.settings.Drain.Limit.D())
 	n.announceStatus(ctx, membership.StatusDraining)
 	for _, srv := range n.servers.list() {
 		srv.SetKeepAlivesEnabled(false) // answers say Connection: close, so callers move on
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,7 +17,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/go-cmp/cmp/cmpopts"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
@@ -260,7 +260,7 @@
 		assert.NilError(t, err)
 		var got MemberEntries
 		assert.NilError(t, json.Unmarshal(wire, &got))
-		assert.DeepEqual(t, got.Entries, entries, cmpopts.EquateEmpty())
+		assert.Assert(t, slices.Equal(got.Entries, entries))
 		assert.Assert(t, n < 200 || len(wire) < 120*n, "%d bytes for %d entries", len(wire), n)
 	}
 	var e Entries
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -5,60 +5,83 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/balance"
+	"github.com/goldcrestshed/goldcrestshed/internal/once"
+	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
+	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
 
+// FrontConfig holds what a Front decides with.
+type FrontConfig struct {
+	Holder     *snapshot.Holder
+	Link       *Link
+	Balancer   *balance.Balancer
+	Stats      *balance.Stats
+	Budgets    *retry.Budgets
+	Latencies  *retry.Latencies
+	Quarantine *quarantine.List
+	// News takes quarantine entries that other nodes should hear of; nil drops
+	// them.
+	News func([]quarantine.Entry)
+	// Retention returns how long the log keeps claims; nil stands for a
+	// default.
+	Retention func() time.Duration
+}
+
 // Front takes calls from callers and sends them to the node beside a backend
 // server of their service.
 type Front struct {
-	holder    *snapshot.Holder
-	transport http.RoundTripper
-	pick      func(*snapshot.Service) *snapshot.Endpoint
+	cfg    FrontConfig
+	flight *flight
 }
 
-// NewFront returns a Front that routes by the generations of a holder.
-func NewFront(h *snapshot.Holder, rt http.RoundTripper, pick func(*snapshot.Service) *snapshot.Endpoint) *Front {
-	return &Front{holder: h, transport: rt, pick: pick}
+// NewFront returns a Front.
+func NewFront(cfg FrontConfig) *Front {
+	if cfg.News == nil {
+		cfg.News = func([]quarantine.Entry) {}
+	}
+	if cfg.Retention == nil {
+		cfg.Retention = func() time.Duration { return once.DefaultRetention }
+	}
+	return &Front{cfg: cfg, flight: newFlight()}
 }
 
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	route, failure := f.route(r)
-	if failure != nil {
-		failure.write(w)
+	f.flight.enter()
+	defer f.flight.leave()
+	rc := beginCall(w)
+	defer endCall(rc, r)
+	if refusal := refusalOf(r); refusal != nil {
+		refusal.write(w)
 		return
 	}
-	hops, _ := strconv.Atoi(r.Header.Get(HeaderHops))
-	if hops >= maxHops {
-		Failure{Status: http.StatusLoopDetected, Outcome: OutcomeNotRun, Reason: ReasonTooManyHop, Message: "the chain of calls is too deep"}.write(w)
+	route, refusal := f.route(r)
+	if refusal != nil {
+		refusal.write(w)
 		return
 	}
-	endpoint := f.pick(route.Service)
-	resp, err := send(r.Context(), f.transport, endpoint.GuardAddress, r, func(h http.Header) {
-		h.Set(HeaderHops, strconv.Itoa(hops+1))
-		h.Set(HeaderRoute, route.ID)
-		if key := h.Get(HeaderKeyCaller); key != "" {
-			h.Del(HeaderKeyCaller)
-			h.Set(HeaderKey, key)
-		}
-	})
-	if err != nil {
-		failureOf(err).write(w)
+	c, refusal := f.newCall(w, r, route)
+	if refusal != nil {
+		refusal.write(w)
 		return
 	}
-	relay(w, resp)
+	defer c.close()
+	c.run(rc)
 }
 
 func (f *Front) route(r *http.Request) (*snapshot.Route, *Failure) {
-	m := f.holder.Lookup(hostOf(r), r.Method, r.URL.Path)
+	m := f.cfg.Holder.Lookup(hostOf(r), r.Method, r.URL.Path)
 	switch {
 	case m.Generation == 0:
-		return nil, &Failure{Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun, Reason: ReasonNotReady, Message: "the node has no configuration yet"}
+		return nil, notRun(http.StatusServiceUnavailable, ReasonNotReady, "the node has no configuration yet")
 	case m.Route == nil:
-		return nil, &Failure{Status: http.StatusNotFound, Outcome: OutcomeNotRun, Reason: ReasonNoRoute, Message: "no route matches"}
+		return nil, notRun(http.StatusNotFound, ReasonNoRoute, "no route matches")
 	case m.HeldBack:
-		return nil, &Failure{Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun, Reason: ReasonNoBackend, Message: "the service has no backend server"}
+		return nil, notRun(http.StatusServiceUnavailable, ReasonNoBackend, "the service has no backend server")
 	}
 	return m.Route, nil
 }
@@ -70,3 +93,35 @@
 	}
 	return strings.ToLower(host)
 }
+
+// newCall reads what the caller asks for.
+func (f *Front) newCall(w http.ResponseWriter, r *http.Request, route *snapshot.Route) (*call, *Failure) {
+	hops, _ := strconv.Atoi(r.Header.Get(HeaderHops))
+	if hops >= maxHops {
+		return nil, notRun(http.StatusLoopDetected, ReasonTooManyHop, "the chain of calls is too deep")
+	}
+	now := time.Now()
+	c := &call{
+		front: f, w: w, r: r, ctx: r.Context(), route: route, service: route.Service, policy: &route.Service.Policy,
+		started: now, deadline: now.Add(timeoutOf(r, route)), idempotent: route.IsIdempotent(r.Method),
+		body: newKeptBody(r),
+	}
+	if refusal := c.checkKey(now); refusal != nil {
+		return nil, refusal
+	}
+	c.header = c.baseHeader(hops + 1)
+	return c, nil
+}
+
+// timeoutOf returns the time limit of a call: the caller's, if it is shorter
+// than the route's.
+func timeoutOf(r *http.Request, route *snapshot.Route) time.Duration {
+	limit := time.Duration(route.Timeout)
+	if limit == 0 {
+		limit = time.Duration(route.Service.Policy.Timeout)
+	}
+	if left, ok := deadlineOf(r.Header); ok {
+		limit = min(limit, left)
+	}
+	return limit
+}
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -21,7 +20,14 @@
 	HeaderHops         = "Goldcrest-Hops"
 	HeaderKey          = "Goldcrest-Key" // the idempotency key between nodes
 	HeaderRoute        = "Goldcrest-Route"
-	HeaderKeyCaller    = "Idempotency-Key" // the idempotency key from callers
+	HeaderKeyCaller    = "Idempotency-Key"       // the idempotency key from callers
+	HeaderOnce         = "Goldcrest-Once"        // between nodes: run at most once under the key; the value is the form of keys
+	HeaderRepeat       = "Goldcrest-Repeat"      // between nodes: the call may run more than once
+	HeaderHeld         = "Goldcrest-Held"        // between nodes: id of the claim whose holder the call is sent on to
+	HeaderCall         = "Goldcrest-Call"        // between nodes: a mark that the answer repeats
+	HeaderLoad         = "Goldcrest-Load"        // between nodes: load report of the backend server
+	HeaderQuarantine   = "Goldcrest-Quarantine"  // between nodes: news of quarantine
+	HeaderAnswerHops   = "Goldcrest-Answer-Hops" // nodes that the answer has passed through
 )
 
 // Outcome tells a caller what became of a call.
@@ -36,13 +42,25 @@
 
 // Reasons of outcomes, as sent in HeaderReason.
 const (
-	ReasonNoRoute    = "no_route"
-	ReasonNoBackend  = "no_backend"
-	ReasonDraining   = "draining"
-	ReasonConnect    = "connect_failed"
-	ReasonCut        = "connection_cut"
-	ReasonNotReady   = "not_ready"
-	ReasonTooManyHop = "too_many_hops"
+	ReasonNoRoute        = "no_route"
+	ReasonNoBackend      = "no_backend"
+	ReasonDraining       = "draining"
+	ReasonConnect        = "connect_failed"
+	ReasonReleased       = "claim_released" // between nodes only
+	ReasonCut            = "connection_cut"
+	ReasonNotReady       = "not_ready"
+	ReasonTooManyHop     = "too_many_hops"
+	ReasonHeaderTooLarge = "header_too_large"
+	ReasonBodyTooLarge   = "body_too_large"
+	ReasonBodyCut        = "body_cut"
+	ReasonUpgrade        = "upgrade_refused"
+	ReasonTarget         = "bad_target"
+	ReasonDeadline       = "deadline"
+	ReasonQuarantined    = "quarantined"
+	ReasonSuspectBusy    = "suspect_busy"
+	ReasonCanceled       = "canceled"
+	ReasonMismatch       = "answer_mismatch"
+	ReasonBudget         = "cross_region_budget"
 )
 
 // maxHops is the deepest chain of calls.
@@ -56,6 +74,7 @@
 	Message      string        `json:"message"`
 	RetryAfter   time.Duration `json:"-"`
 	RetryAfterMs int64         `json:"retryAfterMs,omitempty"`
+	RanStatus    int           `json:"ranStatus,omitempty"` // of an answer that is no longer there
 }
 
 func (f Failure) write(w http.ResponseWriter) {
@@ -73,26 +92,18 @@
 	_ = json.NewEncoder(w).Encode(f)
 }
 
-// hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// notRun returns the answer to a call that was not run.
+func notRun(status int, reason, message string) *Failure {
+	return &Failure{Status: status, Outcome: OutcomeNotRun, Reason: reason, Message: message}
 }
 
-// copyHeader adds the end-to-end headers of src to dst.
-func copyHeader(dst, src http.Header) {
-	drop := make(map[string]bool)
-	for _, line := range src["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			drop[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	for _, name := range hopHeaders {
-		drop[name] = true
-	}
-	for name, values := range src {
-		if !drop[name] {
-			dst[name] = append(dst[name], values...)
-		}
-	}
+// later adds the time after which the call may be tried again.
+func (f *Failure) later(after time.Duration) *Failure {
+	f.RetryAfter = after
+	return f
+}
+
+// unknown returns the answer to a call that may have been run.
+func unknown(status int, reason, message string) *Failure {
+	return &Failure{Status: status, Outcome: OutcomeUnknown, Reason: reason, Message: message}
 }
--- /dev/null
+++ b/internal/proxy/server.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+)
+
+// Limits of the servers for calls.
+const (
+	readHeaderTimeout = 10 * time.Second
+	callerIdleTimeout = time.Minute
+	// netHTTPHeaderBytes lies above maxHeaderBytes, so that calls somewhat
+	// over the limit get our answer in place of net/http's text.
+	netHTTPHeaderBytes = 4 * maxHeaderBytes
+	// unreadBodyWait is how long a caller may take to send the rest of a body
+	// that was not wanted, before its connection is closed.
+	unreadBodyWait = time.Second
+)
+
+// NewServer returns a server over HTTP/1.1 and HTTP/2 without TLS.
+func NewServer(h http.Handler) *http.Server {
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		MaxHeaderBytes: netHTTPHeaderBytes, Protocols: &http.Protocols{},
+	}
+	srv.Protocols.SetHTTP1(true)
+	srv.Protocols.SetUnencryptedHTTP2(true)
+	return srv
+}
+
+// beginCall readies the connection of a call.
+func beginCall(w http.ResponseWriter) *http.ResponseController {
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(time.Time{}) // the last answer on the connection may have left one
+	return rc
+}
+
+// endCall bounds the wait for the rest of a body that nobody reads.
+func endCall(rc *http.ResponseController, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = rc.SetReadDeadline(time.Now().Add(unreadBodyWait))
+	}
+}
+
+// prepare takes a small body whole and readies the connection for a body that
+// streams. It returns the writer to answer with.
+func (b *keptBody) prepare(w http.ResponseWriter, rc *http.ResponseController, deadline time.Time) (http.ResponseWriter, error) {
+	switch {
+	case b == nil:
+		return w, nil
+	case b.small():
+		return w, b.take(rc, deadline)
+	}
+	// Without it net/http would read the body to its end before it writes the
+	// header of an answer.
+	if rc.EnableFullDuplex() != nil || b.in.ProtoMajor != 1 {
+		return w, nil
+	}
+	return &duplexWriter{ResponseWriter: w, body: b}, nil
+}
+
+// duplexWriter closes the connection of an answer that begins before the end
+// of the call's body. net/http's server fails on the next request if such a
+// body ends after its handler has returned.
+type duplexWriter struct {
+	http.ResponseWriter
+	body *keptBody
+}
+
+// Unwrap lets http.ResponseController find the methods of the writer below.
+func (d *duplexWriter) Unwrap() http.ResponseWriter { return d.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (d *duplexWriter) WriteHeader(status int) {
+	if status >= http.StatusOK && !d.body.ended() {
+		d.Header().Set("Connection", "close")
+	}
+	d.ResponseWriter.WriteHeader(status)
+}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
@@ -18,11 +20,15 @@
 
 // LogFaults are the faults of a Log stand-in.
 type LogFaults struct {
-	Down         bool             `json:"down"`         // refuse every request
-	SlowMs       int              `json:"slowMs"`       // delay of every request
-	LoseAnswers  int              `json:"loseAnswers"`  // appends still to be applied and left without an answer
-	ExpireBefore map[string]int64 `json:"expireBefore"` // by stream: drop records below the offset
-	Reset        bool             `json:"reset"`        // drop everything and start offsets again
+	Down         bool             `json:"down"`           // refuse every request
+	SlowMs       int              `json:"slowMs"`         // delay of every request
+	AppendsOnly  bool             `json:"appendsOnly"`    // down and slow spare reads
+	LoseAnswers  int              `json:"loseAnswers"`    // appends still to be applied and left without an answer
+	LateMs       int              `json:"lateMs"`         // appends without an answer are applied that much later
+	DropAppends  int              `json:"dropAppends"`    // appends still to be left without effect and answer
+	ExpireBefore map[string]int64 `json:"expireBefore"`   // by stream: drop records below the offset
+	Reset        bool             `json:"reset"`          // drop everything and start offsets again
+	Then         *LogFaults       `json:"then,omitempty"` // takes the place of these faults after the next append
 }
 
 // Log is a stand-in of the platform's log.
@@ -65,6 +71,10 @@
 func (l *Log) SetFaults(f LogFaults) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.setFaultsLocked(f)
+}
+
+func (l *Log) setFaultsLocked(f LogFaults) {
 	if f.Reset {
 		l.resetLocked()
 	}
@@ -115,34 +125,51 @@
 	s.first += n
 }
 
-// admit applies the delay and the outage; it reports whether to serve.
-func (l *Log) admit(w http.ResponseWriter, r *http.Request) bool {
+// errDown is the answer of a log that is down.
+var errDown = errors.New("the log is down")
+
+// request tells faults apart by what they hit.
+type request int
+
+const (
+	requestRead request = iota
+	requestAppend
+)
+
+// delay applies the faults that come before the work of a request.
+func (l *Log) delay(ctx context.Context, r request) error {
 	l.mu.Lock()
 	f := l.faults
 	l.mu.Unlock()
+	if f.AppendsOnly && r != requestAppend {
+		return nil
+	}
 	if f.SlowMs > 0 {
+		t := time.NewTimer(time.Duration(f.SlowMs) * time.Millisecond)
+		defer t.Stop()
 		select {
-		case <-time.After(time.Duration(f.SlowMs) * time.Millisecond):
-		case <-r.Context().Done():
-			return false
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 	}
 	if f.Down {
-		http.Error(w, "the log is down", http.StatusServiceUnavailable)
-		return false
+		return errDown
 	}
-	return true
+	return nil
 }
 
 func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
-	if !l.admit(w, r) {
-		return
-	}
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platformlog.MaxRecordBytes))
 	if err != nil {
 		http.Error(w, "record too large or cut short", http.StatusRequestEntityTooLarge)
 		return
 	}
+	// A slow log applies a record even when the caller has given up by then.
+	if err := l.delay(context.WithoutCancel(r.Context()), requestAppend); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	out, lost := l.append(r.PathValue("stream"), data)
 	if lost {
 		panic(http.ErrAbortHandler) // cuts the connection without an answer
@@ -150,49 +177,86 @@
 	writeJSON(w, http.StatusOK, out)
 }
 
+// append adds a record, and reports whether its answer is lost.
 func (l *Log) append(stream string, data []byte) (out platformlog.AppendResponse, lost bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer l.nextFaultsLocked()
+	switch {
+	case l.faults.DropAppends > 0:
+		l.faults.DropAppends--
+		return out, true
+	case l.faults.LoseAnswers > 0:
+		l.faults.LoseAnswers--
+		l.applyLateLocked(stream, data, time.Duration(l.faults.LateMs)*time.Millisecond)
+		return out, true
+	}
+	return l.applyLocked(stream, data), false
+}
+
+func (l *Log) nextFaultsLocked() {
+	if next := l.faults.Then; next != nil {
+		l.setFaultsLocked(*next)
+	}
+}
+
+func (l *Log) applyLateLocked(stream string, data []byte, late time.Duration) {
+	if late == 0 {
+		l.applyLocked(stream, data)
+		return
+	}
+	time.AfterFunc(late, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.applyLocked(stream, data)
+	})
+}
+
+func (l *Log) applyLocked(stream string, data []byte) platformlog.AppendResponse {
 	s := l.streamLocked(stream)
-	out = platformlog.AppendResponse{Epoch: l.epoch, Offset: s.next()}
+	out := platformlog.AppendResponse{Epoch: l.epoch, Offset: s.next()}
 	s.records = append(s.records, platformlog.WireRecord{Offset: out.Offset, TimeMs: l.now().UnixMilli(), Data: data})
 	close(s.grown)
 	s.grown = make(chan struct{})
 	l.appends++
-	if l.faults.LoseAnswers > 0 {
-		l.faults.LoseAnswers--
-		return out, true
-	}
-	return out, false
+	return out
 }
 
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
-	if !l.admit(w, r) {
-		return
-	}
 	q := r.URL.Query()
 	from, err1 := strconv.ParseInt(q.Get("from"), 10, 64)
 	limit, err2 := strconv.Atoi(q.Get("max"))
 	waitMs, err3 := strconv.Atoi(q.Get("waitMs"))
-	if err1 != nil || err2 != nil || err3 != nil || from < 0 || limit < 1 {
+	if err1 != nil || err2 != nil || err3 != nil || from < 0 || limit < 1 || waitMs < 0 {
 		http.Error(w, "want from, max and waitMs as whole numbers", http.StatusBadRequest)
 		return
 	}
-	deadline := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
+	status, out, err := l.poll(r.Context(), r.PathValue("stream"), from, limit, time.Duration(waitMs)*time.Millisecond)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, status, out)
+}
+
+// poll reads, and waits for records while there are none.
+func (l *Log) poll(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (int, platformlog.ReadResponse, error) {
+	if err := l.delay(ctx, requestRead); err != nil {
+		return 0, platformlog.ReadResponse{}, err
+	}
+	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
-		status, out, grown := l.read(r.PathValue("stream"), from, limit)
-		if status != http.StatusOK || len(out.Records) > 0 {
-			writeJSON(w, status, out)
-			return
+		status, out, grown := l.read(stream, from, limit)
+		if status != http.StatusOK || len(out.Records) > 0 || wait <= 0 {
+			return status, out, nil
 		}
 		select {
 		case <-grown:
 		case <-deadline.C:
-			writeJSON(w, status, out)
-			return
-		case <-r.Context().Done():
-			return
+			return status, out, nil
+		case <-ctx.Done():
+			return 0, platformlog.ReadResponse{}, ctx.Err()
 		}
 	}
 }
--- /dev/null
+++ b/internal/telemetry/catalog.go
@@ -0,0 +1,66 @@
+package telemetry
+
+// Metric describes one metric. Names stand without the prefix goldcrest_.
+type Metric struct {
+	Name string
+	Kind string // counter, gauge or histogram
+	Unit string
+	Help string
+}
+
+// Event describes one log line by its stable message.
+type Event struct {
+	Name  string
+	Level string
+	Help  string
+}
+
+// Names of metrics.
+const (
+	MetricGeneration     = "generation"
+	MetricPositionEra    = "position_era"
+	MetricPositionOffset = "position_offset"
+	MetricRoutes         = "routes"
+	MetricRoutesHeld     = "routes_held_back"
+	MetricMembers        = "members"
+	MetricReady          = "ready"
+	MetricDraining       = "draining"
+)
+
+// Catalog lists every metric of a node.
+var Catalog = []Metric{
+	{MetricGeneration, "gauge", "number", "generation of routes that calls use"},
+	{MetricPositionEra, "gauge", "number", "era of the configuration in force"},
+	{MetricPositionOffset, "gauge", "offset", "log offset of the configuration in force"},
+	{MetricRoutes, "gauge", "routes", "routes in force"},
+	{MetricRoutesHeld, "gauge", "routes", "routes whose service has no backend server here"},
+	{MetricMembers, "gauge", "nodes", "nodes that new calls may be sent to"},
+	{MetricReady, "gauge", "0 or 1", "whether the node serves"},
+	{MetricDraining, "gauge", "0 or 1", "whether the node is leaving"},
+}
+
+// Events lists every log event at level info and above.
+var Events = []Event{
+	{"node_started", "info", "the node listens; fields node, calls, admin"},
+	{"generation_installed", "info", "a new generation is in force; fields generation, position, routes, held_back"},
+	{"generation_refused", "error", "a generation failed its checks and was dropped whole; the old one stays"},
+	{"log_read_failed", "warn", "the platform's log did not answer; the node goes on with what it has"},
+	{"log_range", "warn", "the offset asked for is not in the log: expired, or another log"},
+	{"log_lost", "warn", "the log does not hold the last record folded; a new era follows unless the log has a newer checkpoint"},
+	{"era_opened", "warn", "this node wrote the configuration into a log that was lost"},
+	{"checkpoint_failed", "warn", "a checkpoint could not be written; another try follows"},
+	{"record_needs_newer_build", "error", "a record has a newer schema than this build; the node keeps its state until it is upgraded"},
+	{"state_unreadable", "warn", "a neighbour sent a state that could not be read"},
+	{"ready", "info", "the node holds a state as new as the log or its peers and serves; field position"},
+	{"announcements_unread", "warn", "a starting node could not read stream members; it asks the seeds"},
+	{"suspected", "info", "a neighbour does not answer on an old or a new connection; fields member, by"},
+	{"probe_failed", "info", "a new connection to a silent neighbour failed"},
+	{"member_dead", "warn", "a member was given up after two suspicions, or one that stood for 10 s"},
+	{"announcement_unreadable", "warn", "a record of stream members could not be read"},
+	{"announce_failed", "warn", "the node could not write its entry to the log; it tries again"},
+	{"news_unsent", "error", "quarantine entries could not be encoded; they still travel with answers"},
+	{"news_unreadable", "warn", "a neighbour sent quarantine entries that could not be read"},
+	{"drain_started", "info", "the node takes no new work"},
+	{"drain_cut", "warn", "the drain limit ended calls in flight"},
+	{"drain_ended", "info", "every call in flight has ended"},
+}
