--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,8 +6,10 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -244,3 +246,23 @@
 		}
 	})
 }
+
+// TestEntriesKeepOrderAndContent guards against members that are lost where
+// the compressed form begins, and against a table that takes more than its
+// share of the byte budget.
+func TestEntriesKeepOrderAndContent(t *testing.T) {
+	for _, n := range []int{0, 1, packFrom - 1, packFrom, 200} {
+		var entries Entries
+		for i := range n {
+			entries = append(entries, membership.Member{ID: fmt.Sprint("n", i), Incarnation: int64(i) << 40, Region: "gaucho", FailureDomain: "poa-a", PeerAddress: fmt.Sprintf("10.0.0.%d:7000", i), Status: membership.StatusAlive})
+		}
+		wire, err := json.Marshal(MemberEntries{From: "a", Entries: entries})
+		assert.NilError(t, err)
+		var got MemberEntries
+		assert.NilError(t, json.Unmarshal(wire, &got))
+		assert.Assert(t, slices.Equal(got.Entries, entries))
+		assert.Assert(t, n < 200 || len(wire) < 120*n, "%d bytes for %d entries", len(wire), n)
+	}
+	var e Entries
+	assert.Assert(t, json.Unmarshal([]byte(`"AAAA"`), &e) != nil)
+}
