Report attempts to the balancer at the first byte and send suspicions along

Cause: the balancer counts calls in flight with their age, so a download that streams looked like a server that stopped; a refusal of one request steered other calls away; a guard could run a suspect that it had not heard of, and a suspect could be hedged on a second server. Change: attempts end for the balancer at the first byte; only refusals for load, drain or connection carry their retry-after; the entry of a suspect travels with its call and suspects are not hedged. The gate follows the policy of the selected profile, and a drain flushes outcomes to the log. The two lines in internal/node have no test of their own yet.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -104,12 +104,38 @@
 }
 
 func (n *Node) pruneCalls(now time.Time) {
+	n.followPolicy()
 	n.calls.once.Tick(now)
 	n.calls.stats.Prune(now, unusedAfter)
 	n.calls.budgets.Prune(now, unusedAfter)
 	n.calls.latencies.Prune(now, unusedAfter)
 }
 
+// followPolicy gives the gate the limits of the profile that the own service
+// has selected.
+func (n *Node) followPolicy() {
+	g := n.holder.Latest()
+	if g == nil {
+		return
+	}
+	if svc := g.Services[n.settings.Node.Service]; svc != nil {
+		n.calls.gate.SetPolicy(admission.Policy{Queue: svc.Policy.Queue, LongShare: svc.Policy.LongShare})
+	}
+}
+
+// flushLimit bounds the wait for the log when a node leaves.
+const flushLimit = 5 * time.Second
+
+// flushCalls waits until the outcomes of keyed calls are in the log, so that
+// other nodes can tell them when this one is gone.
+func (n *Node) flushCalls(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushLimit)
+	defer cancel()
+	if err := n.calls.once.Flush(ctx); err != nil {
+		n.logger.Warn("outcomes_not_flushed", "error", err)
+	}
+}
+
 // every runs f at an interval until the context ends.
 func every(ctx context.Context, d time.Duration, f func(time.Time)) {
 	t := time.NewTicker(d)
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -109,6 +109,7 @@
 		return nil
 	}
 	n.endWork(ctx)
+	n.flushCalls(ctx)
 	n.announceStatus(ctx, membership.StatusLeft)
 	n.logger.Info("drain_ended")
 	return nil
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -74,7 +74,7 @@
 // baseHeader returns the headers for the guard.
 func (c *call) baseHeader(hops int) http.Header {
 	h := requestHeader(c.r)
-	for _, name := range []string{HeaderKey, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat} {
+	for _, name := range []string{HeaderKey, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat, HeaderQuarantine} {
 		delete(h, name)
 	}
 	h[HeaderHops] = []string{strconv.Itoa(hops)}
@@ -137,6 +137,10 @@
 		return refusal
 	}
 	c.pass = pass
+	if entry, ok := list.Entry(fp); ok {
+		// The node beside the server may not have heard of the suspicion yet.
+		c.header[HeaderQuarantine] = []string{formatEntries([]quarantine.Entry{entry})}
+	}
 	if len(verdict.Avoid) < len(c.service.Endpoints) {
 		c.exclude = append(c.exclude, verdict.Avoid...)
 	}
@@ -167,16 +171,15 @@
 
 // give answers the caller.
 func (c *call) give(t *tried) {
+	c.finish(t, false)
 	if t.answer == nil {
-		c.finish(t, false)
 		c.failureOf(t).write(c.w)
 		return
 	}
 	defer t.answer.Close()
 	c.editAnswer(t)
 	n, err := relay(c.w, c.r, t.answer)
-	t.bytes = n
-	c.finish(t, false)
+	c.spendBytes(t, n)
 	if err != nil {
 		abort(c.w, c.r)
 		return
--- a/internal/proxy/guard.go
+++ b/internal/proxy/guard.go
@@ -114,6 +114,11 @@
 		rule: r.Header.Get(HeaderOnce), repeat: r.Header.Get(HeaderRepeat) != "",
 		body: newKeptBody(r), early: &earlyHints{w: w},
 	}
+	if text := r.Header.Get(HeaderQuarantine); text != "" {
+		if news := g.cfg.Quarantine.Merge(parseEntries(text), time.Now()); len(news) > 0 {
+			g.cfg.News(news)
+		}
+	}
 	return v
 }
 
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -45,6 +45,7 @@
 	ReasonNoRoute        = "no_route"
 	ReasonNoBackend      = "no_backend"
 	ReasonDraining       = "draining"
+	ReasonOverloaded     = "overloaded"
 	ReasonConnect        = "connect_failed"
 	ReasonReleased       = "claim_released" // between nodes only
 	ReasonCut            = "connection_cut"
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -28,6 +28,9 @@
 // hedgeAfter returns the time after which a second server is tried, and false
 // when none is.
 func (c *call) hedgeAfter() (time.Duration, bool) {
+	if c.pass != nil {
+		return 0, false // a suspect must not endanger two servers at once
+	}
 	if !c.policy.Hedge || !c.idempotent || len(c.service.Endpoints) < 2 || !c.body.complete() {
 		return 0, false
 	}
--- a/internal/proxy/poison_test.go
+++ b/internal/proxy/poison_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/balance"
+	"github.com/goldcrestshed/goldcrestshed/internal/jsonc"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
+	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 	"github.com/goldcrestshed/goldcrestshed/internal/standin"
 )
 
@@ -58,3 +64,60 @@
 		})
 	}
 }
+
+// TestSuspectTravelsWithItsCall guards against a node that runs a suspect
+// without knowing of it, a suspect that is hedged, and a suspicion that
+// outlives the answer.
+func TestSuspectTravelsWithItsCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fp := quarantine.NewFingerprint("GET", testHost, "/suspect", "", nil)
+		states := make(chan quarantine.State, 10)
+		var w *world
+		w = newWorld(t, "ab", func(id string) http.Handler {
+			return http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				states <- w.nodes[id].quarantine.Check(fp, time.Now()).State
+				time.Sleep(100 * time.Millisecond)
+			})
+		}, func(r *snapshot.Route) {
+			r.Service.Policy.Hedge, r.Service.Policy.HedgeAfter = true, jsonc.Duration(50*time.Millisecond)
+		})
+		assert.Equal(t, w.call("GET", "/", "", nil).status, 200) // earns the budget of a hedge
+		for len(states) > 0 {
+			<-states
+		}
+		list := w.front.cfg.Quarantine
+		list.Crash("elsewhere", []quarantine.Fingerprint{fp}, time.Now())
+		assert.Equal(t, w.call("GET", "/suspect", "", nil).status, 200)
+		assert.Equal(t, len(states), 1)
+		assert.Equal(t, <-states, quarantine.Suspect)
+		assert.Equal(t, list.Check(fp, time.Now()).State, quarantine.Clear)
+	})
+}
+
+// TestBalancerHearsOfLoadOnly guards against calls that are steered away from
+// a server because of one request, and against a long download that counts as
+// a server that has stopped answering.
+func TestBalancerHearsOfLoadOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ran atomic.Int64
+		w := newWorld(t, "a", counting(&ran, func(_ string, w http.ResponseWriter, r *http.Request) {
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(10 * time.Second)
+		}), nil)
+		view := func() balance.View { return w.front.cfg.Stats.Views()[0] }
+		fp := quarantine.NewFingerprint("GET", testHost, "/poison", "", nil)
+		for _, server := range []string{"x", "y", "z"} {
+			w.nodes["a"].quarantine.Crash(server, []quarantine.Fingerprint{fp}, time.Now())
+		}
+		assert.Equal(t, w.call("GET", "/poison", "", nil).outcome, string(OutcomeNotRun))
+		assert.Assert(t, view().SteerUntil.IsZero())
+		var done sync.WaitGroup
+		done.Go(func() { w.call("GET", "/download", "", nil) })
+		time.Sleep(time.Second)
+		assert.Equal(t, view().InFlight, 0)
+		fill(w.nodes["a"].gate)
+		assert.Equal(t, w.call("GET", "/", "", nil).outcome, string(OutcomeNotRun))
+		assert.Assert(t, !view().SteerUntil.IsZero())
+		done.Wait()
+	})
+}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -144,7 +144,7 @@
 	if key, ok := h[HeaderKey]; ok {
 		h[HeaderKeyCaller] = key
 	}
-	for _, name := range []string{HeaderKey, HeaderRoute, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat} {
+	for _, name := range []string{HeaderKey, HeaderRoute, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat, HeaderQuarantine} {
 		delete(h, name)
 	}
 	h[HeaderDeadlineMs] = []string{formatDeadline(left)}
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -38,7 +38,6 @@
 	err       *sendError
 	failure   *Failure // when the call went to no server
 	exhausted bool     // a retry would have been right but is not allowed
-	bytes     int64    // of the answer's body
 	load      *balance.LoadReport
 }
 
@@ -234,8 +233,8 @@
 	}
 }
 
-// finish reports an attempt to the balancer once it is over. Latencies are
-// those until the first byte, so that long downloads do not look slow.
+// finish reports an attempt to the balancer, at the first byte of the answer
+// or the failure, so that long downloads do not look slow.
 func (c *call) finish(t *tried, lost bool) {
 	if t.choice.Endpoint == nil {
 		return
@@ -247,11 +246,26 @@
 	if t.outcome() == retry.Ran || lost {
 		c.front.cfg.Latencies.Observe(c.route.ID, t.elapsed, now)
 	}
+	c.spendBytes(t, max(c.r.ContentLength, 0))
+}
+
+// spendBytes counts bytes of bodies that go to or come from another region.
+func (c *call) spendBytes(t *tried, n int64) {
 	if t.choice.Tier == balance.TierAcross {
-		c.front.cfg.Balancer.SpendCrossRegion(now, max(c.r.ContentLength, 0)+t.bytes)
+		c.front.cfg.Balancer.SpendCrossRegion(time.Now(), n)
 	}
 }
 
+// steers reports whether an answer speaks of the server's load, so that its
+// retry-after holds for other calls too.
+func steers(t *tried) bool {
+	switch t.reason() {
+	case ReasonOverloaded, ReasonDraining, ReasonConnect:
+		return true
+	}
+	return t.outcome() == retry.Ran && t.status() == http.StatusServiceUnavailable
+}
+
 func (c *call) result(t *tried) balance.Result {
 	r := balance.Result{Latency: t.elapsed, NotRun: t.outcome() == retry.NotRun}
 	if t.answer == nil {
@@ -259,7 +273,9 @@
 		return r
 	}
 	h := t.answer.Header
-	r.RetryAfter = retryAfterOf(h)
+	if steers(t) {
+		r.RetryAfter = retryAfterOf(h)
+	}
 	r.Failed = t.status() >= http.StatusInternalServerError && (!r.NotRun || h.Get(HeaderReason) == ReasonConnect)
 	r.Report = t.load
 	return r
