Probe the connection of the backend server

Cause: the settings named a probe that nothing ran; a backend server that came back without calls was not seen to start cold. Change: Guard.Probe looks each probeEvery whether the server takes connections; events backend_up and backend_down, a gauge. probePath is gone, since health endpoints lag or mislead.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -100,6 +100,7 @@
 	add(func() { every(ctx, pruneEvery, n.pruneCalls) })
 	add(func() { _ = n.calls.once.Run(ctx) })
 	add(func() { n.sendSuspects(ctx) })
+	add(func() { n.probeBackend(ctx) })
 	add(func() { n.calls.claims.run(ctx, n.agent.ReadyDone()) })
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -49,6 +49,7 @@
 func (n *Node) updateCallGauges(set func(name string, v float64)) {
 	now := time.Now()
 	load := n.calls.gate.Report(now)
+	set(telemetry.MetricBackendUp, flag(n.backendUp.Load()))
 	set(telemetry.MetricSlots, float64(load.Slots))
 	set(telemetry.MetricSlotsBusy, float64(load.InUse))
 	set(telemetry.MetricQueue, float64(load.Queued))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,7 @@
 	front     *proxy.Front
 	guard     *proxy.Guard
 	calls     calls
+	backendUp atomic.Bool // as of the last probe
 	listeners listeners
 	servers   servers       // of calls and guard; the admin server outlives a drain
 	draining  chan struct{} // closed by the first Drain
--- /dev/null
+++ b/internal/proxy/probe.go
@@ -0,0 +1,18 @@
+package proxy
+
+import (
+	"context"
+	"time"
+)
+
+// Probe looks whether the backend server takes connections and reports it,
+// with whether that changed. Only the connection counts, since health
+// endpoints lag or mislead. A server that comes back starts cold.
+func (g *Guard) Probe(ctx context.Context) (up, changed bool) {
+	up = !g.cfg.Link.refuses(ctx, g.cfg.Address)
+	changed = g.down.CompareAndSwap(up, !up)
+	if changed && up {
+		g.cfg.Gate.Started(time.Now())
+	}
+	return up, changed
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,8 +44,7 @@
 	Address     string         `json:"address" required:"true" doc:"HTTP address of the backend server, ip:port"`
 	Slots       int            `json:"slots" default:"18" min:"1" max:"100000" doc:"calls that the backend server runs at once"`
 	Connections int            `json:"connections" default:"110" min:"1" max:"100000" doc:"most connections to the backend server"`
-	ProbePath   string         `json:"probePath" default:"/healthz" doc:"path of the health probe"`
-	ProbeEvery  jsonc.Duration `json:"probeEvery" default:"1s" min:"100ms" max:"1m" doc:"time between health probes"`
+	ProbeEvery  jsonc.Duration `json:"probeEvery" default:"1s" min:"100ms" max:"1m" doc:"time between looks whether the backend server takes connections"`
 }
 
 // Log is how the node reaches the platform's log.
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -27,6 +27,7 @@
 	MetricDraining       = "draining"
 	MetricCalls          = "calls"
 	MetricCallSeconds    = "call_seconds"
+	MetricBackendUp      = "backend_up"
 	MetricSlots          = "slots"
 	MetricSlotsBusy      = "slots_busy"
 	MetricQueue          = "queue"
@@ -48,6 +49,7 @@
 	{MetricDraining, "gauge", "0 or 1", "whether the node is leaving"},
 	{MetricCalls, "counter", "calls", "calls that ended; tags side (front, guard), outcome (ran, not_run, unknown, cut) and reason"},
 	{MetricCallSeconds, "histogram", "seconds", "time of calls from the request's header to the end of the answer; tag side"},
+	{MetricBackendUp, "gauge", "0 or 1", "whether the backend server took a connection at the last probe"},
 	{MetricSlots, "gauge", "slots", "calls that the backend server may run at once now"},
 	{MetricSlotsBusy, "gauge", "slots", "calls that the backend server runs"},
 	{MetricQueue, "gauge", "calls", "calls that wait for a slot of the backend server"},
@@ -78,6 +80,9 @@
 	{"announce_failed", "warn", "the node could not write its entry to the log; it tries again"},
 	{"news_unsent", "error", "quarantine entries could not be encoded; they still travel with answers"},
 	{"news_unreadable", "warn", "a neighbour sent quarantine entries that could not be read"},
+	{"backend_down", "warn", "the backend server refuses connections; calls go to others"},
+	{"backend_up", "info", "the backend server takes connections again and starts cold"},
+	{"outcomes_not_flushed", "warn", "outcomes of keyed calls could not be written before the end; repeats are told unknown"},
 	{"drain_started", "info", "the node takes no new work"},
 	{"drain_cut", "warn", "the drain limit ended calls in flight"},
 	{"drain_ended", "info", "every call in flight has ended"},
