Tell the truth about a call whose retry was refused

Cause: a test of random faults showed a caller that was told not-run: its first try had run and lost its answer, and the retry was refused. The guard could do the same when its own second sending found no connection. Change: a refusal after a sending that may have run is given as unknown, at the front and at the guard. Conclusion: not-run now speaks of the whole call and not of its last try.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/once"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
+	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
 
@@ -54,6 +56,7 @@
 	pass       *quarantine.Pass
 	exclude    []string // servers not to be tried
 	tries      int
+	mayHaveRun atomic.Bool // a sending that is over got further than not-run
 }
 
 // checkKey refuses a key that could not protect a call that must not run
@@ -171,6 +174,7 @@
 
 // give answers the caller.
 func (c *call) give(t *tried) {
+	t = c.truthful(t)
 	c.finish(t, false)
 	if t.answer == nil {
 		c.failureOf(t).write(c.w)
@@ -187,6 +191,20 @@
 	c.clearSuspicion(t)
 }
 
+// truthful replaces a refusal by an unknown outcome when an earlier sending of
+// the call may have run.
+func (c *call) truthful(t *tried) *tried {
+	if t.outcome() != retry.NotRun || !c.mayHaveRun.Load() {
+		return t
+	}
+	f := unknown(http.StatusBadGateway, t.reason(), "an earlier try may have run and a later one was refused")
+	if t.answer != nil {
+		f.RetryAfter = retryAfterOf(t.answer.Header)
+	}
+	c.drop(t)
+	return &tried{failure: f, exhausted: t.exhausted}
+}
+
 // clearSuspicion tells others that a suspect was answered whole.
 func (c *call) clearSuspicion(t *tried) {
 	if c.pass == nil || !t.good() {
--- a/internal/proxy/fault_test.go
+++ b/internal/proxy/fault_test.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -98,6 +100,34 @@
 	}
 }
 
+// TestP5FirstSendingCounts guards against a guard that reports not-run because
+// its second sending was refused, although its first one was lost.
+func TestP5FirstSendingCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ran, dials atomic.Int64
+		w := newWorld(t, "a", counting(&ran, func(id string, w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/lose" {
+				dropCall(id, w, r)
+			}
+		}), func(r *snapshot.Route) { r.Service.Policy.Retries = 0 })
+		most := int64(1 + len(crashProbes))
+		link := NewLink(LinkConfig{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if dials.Add(1) > most {
+				return nil, net.ErrClosed
+			}
+			return w.net.dial(ctx, network, address)
+		}})
+		t.Cleanup(link.Close)
+		w.nodes["a"].guard.cfg.Link = link
+		for range 10 { // earns a resend
+			assert.Equal(t, w.call("GET", "/", "", nil).status, 200)
+		}
+		got := w.call("GET", "/lose", "", nil)
+		assert.Equal(t, dials.Load(), most+1)
+		assert.Equal(t, got.outcome, string(OutcomeUnknown), got.body)
+	})
+}
+
 // TestIdempotentCallOutlivesFaults guards against a fault of one server or
 // connection that reaches a caller although the call could be sent again.
 func TestIdempotentCallOutlivesFaults(t *testing.T) {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -93,14 +93,12 @@
 // its answer.
 func (v *visit) exchange() (*answer, *sendError) {
 	v.guard.budget.Call(v.guard.cfg.Self, resendShare, time.Now())
-	a, err := v.send(false)
-	if err != nil && v.lost(err) {
-		v.checkCrash()
-	}
+	a, err := v.sendOnce(false)
 	if err != nil && v.mayRepeat(err) {
-		a, err = v.send(true)
-		if err != nil && v.lost(err) {
-			v.checkCrash()
+		sent := err.sent
+		a, err = v.sendOnce(true)
+		if err != nil {
+			err.sent = err.sent || sent // the first sending counts too
 		}
 	}
 	v.early.stop()
@@ -108,6 +106,15 @@
 	return a, err
 }
 
+// sendOnce sends the call and looks for a crash when it is lost.
+func (v *visit) sendOnce(fresh bool) (*answer, *sendError) {
+	a, err := v.send(fresh)
+	if err != nil && v.lost(err) {
+		v.checkCrash()
+	}
+	return a, err
+}
+
 // mayRepeat reports whether a call that failed on a connection used before is
 // sent again on a new one, before the server is blamed.
 func (v *visit) mayRepeat(err *sendError) bool {
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -182,6 +182,9 @@
 	c.front.cfg.Stats.Begin(choice.Endpoint.ID, t.begun)
 	t.answer, t.err = c.send(ctx, choice, false, early)
 	if c.mayRepeat(t.err) {
+		if t.err.sent {
+			c.mayHaveRun.Store(true)
+		}
 		t.answer, t.err = c.send(ctx, choice, true, early)
 	}
 	t.elapsed = time.Since(t.begun)
@@ -239,6 +242,9 @@
 	if t.choice.Endpoint == nil {
 		return
 	}
+	if t.outcome() != retry.NotRun {
+		c.mayHaveRun.Store(true)
+	}
 	now := time.Now()
 	r := c.result(t)
 	r.Canceled = lost || (t.err != nil && t.err.canceled)
