--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -98,21 +98,35 @@
 	Admin string `json:"admin"`
 }
 
+// nodeSpec tells what a node is started with. Ports are free ones.
+type nodeSpec struct {
+	id, service, log, backend string
+	region, domain            string
+	seeds                     []string
+}
+
 func startNode(t *testing.T, id, service, log, backend string) *startedNode {
+	return nodeSpec{id: id, service: service, log: log, backend: backend, region: "gaucho", domain: "poa-a"}.start(t)
+}
+
+func (n nodeSpec) start(t *testing.T) *startedNode {
 	t.Helper()
+	seeds, err := json.Marshal(n.seeds)
+	assert.NilError(t, err)
 	text := fmt.Sprintf(`{
 		// written by the test
-		"node": {"id": %q, "service": %q, "region": "gaucho", "failureDomain": "poa-a"},
+		"node": {"id": %q, "service": %q, "region": %q, "failureDomain": %q},
 		"listen": {"calls": "127.0.0.1:0", "guard": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0"},
 		"backendServer": {"address": %q},
 		"log": {"address": %q},
+		"peers": {"seeds": %s},
 		"logging": {"format": "json"},
-	}`, id, service, backend, log)
+	}`, n.id, n.service, n.region, n.domain, n.backend, n.log, strings.Replace(string(seeds), "null", "[]", 1))
 	file := filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
-	n := &startedNode{process: start(t, true, "goldcrestd", "--settings", file)}
-	assert.NilError(t, json.Unmarshal([]byte(n.await(t, "node_started")), n))
-	return n
+	out := &startedNode{process: start(t, true, "goldcrestd", "--settings", file)}
+	assert.NilError(t, json.Unmarshal([]byte(out.await(t, "node_started")), out))
+	return out
 }
 
 func ctl(t *testing.T, args ...string) (string, int) {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -84,5 +84,15 @@
 	n.dump.Register("status", func() any { return n.Status() })
 	n.dump.Register("members", func() any { return n.table.All() })
 	n.dump.Register("peer_bytes", func() any { return n.PeerBytes() })
-	n.dump.Register("config", func() any { return n.agent.State() })
+	n.dump.Register("config", n.dumpConfig)
+}
+
+// dumpConfig returns the applied state as a checkpoint, since the keys of a
+// State have no form in JSON.
+func (n *Node) dumpConfig() any {
+	s := n.agent.State()
+	if s == nil {
+		return nil
+	}
+	return profile.CheckpointOf(*s)
 }
--- a/internal/telemetry/dump.go
+++ b/internal/telemetry/dump.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"maps"
@@ -41,8 +42,14 @@
 	return enc.Encode(out)
 }
 
-// ServeHTTP answers with the dump.
+// ServeHTTP answers with the dump, or with the error of a part that has no
+// form in JSON.
 func (d *Dumper) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	var buf bytes.Buffer
+	if err := d.Write(&buf); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = d.Write(w)
+	_, _ = w.Write(buf.Bytes()) // the caller has gone when this fails
 }
