--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -1,20 +1,21 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
 )
 
 const (
 	// writeLimit bounds one write. A connection that went silent fills the
-	// kernel's buffer and would block its writers for good.
+	// kernel's buffer and would block its writer for good.
 	writeLimit = 2 * time.Second
 	// maxRequests bounds the requests of one connection that run at once.
 	maxRequests = 64
@@ -38,196 +39,109 @@
 // handleFunc answers one request. The answer of a notification is dropped.
 type handleFunc func(ctx context.Context, c *conn, r request) (any, error)
 
-// conn is one connection of the protocol. Both sides may call.
+// conn is one connection of the protocol.
 type conn struct {
-	nc     net.Conn
-	handle handleFunc
-	out    chan struct{} // capacity 1: held for the write of one message, so that messages do not mix
-	done   chan struct{}
-	cancel context.CancelFunc
+	rpc    *jsonrpc2.Conn
+	stream *stream
+	serve  handleFunc
 	slots  chan struct{}
 	bytes  Counters
-	total  *Counters // of the whole node
-
-	mu      sync.Mutex
-	next    uint64                // guarded by mu
-	pending map[uint64]chan frame // guarded by mu
-	closed  bool                  // guarded by mu
+	done   <-chan struct{}
 }
 
+// quiet drops the library's log lines: the end of a connection is an ordinary
+// event here, and its users log what follows from it.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // newConn serves a connection until it is closed or the context ends.
 func newConn(ctx context.Context, nc net.Conn, total *Counters, h handleFunc) *conn {
-	ctx, cancel := context.WithCancel(ctx)
-	c := &conn{
-		nc: nc, handle: h, total: total, cancel: cancel,
-		out: make(chan struct{}, 1), done: make(chan struct{}), slots: make(chan struct{}, maxRequests), pending: map[uint64]chan frame{},
-	}
-	context.AfterFunc(ctx, c.close)
-	go c.read(ctx)
+	c := &conn{serve: h, slots: make(chan struct{}, maxRequests)}
+	c.stream = newStream(&counted{Conn: nc, own: &c.bytes, total: total})
+	ready := make(chan struct{})
+	c.rpc = jsonrpc2.NewConn(ctx, c.stream, started{conn: c, ready: ready}, quiet)
+	c.done = c.rpc.DisconnectNotify()
+	close(ready)
 	return c
 }
 
-// close ends the connection and every call on it.
-func (c *conn) close() {
-	c.mu.Lock()
-	if c.closed {
-		c.mu.Unlock()
-		return
-	}
-	c.closed = true
-	c.mu.Unlock()
-	close(c.done)
-	c.cancel()
-	_ = c.nc.Close()
+// started holds back the first request until the conn is complete, since the
+// library reads from within NewConn.
+type started struct {
+	conn  *conn
+	ready <-chan struct{}
 }
 
-// Read implements io.Reader for the codec and counts.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.nc.Read(p)
-	c.bytes.In.Add(int64(n))
+// Handle implements jsonrpc2.Handler.
+func (s started) Handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	<-s.ready
+	s.conn.handle(ctx, r)
+}
+
+// counted counts the bytes of a connection and bounds its writes.
+type counted struct {
+	net.Conn
+	own, total *Counters
+}
+
+// Read implements io.Reader.
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.own.In.Add(int64(n))
 	c.total.In.Add(int64(n))
 	return n, err
 }
 
-// Write implements io.Writer for the codec and counts.
-func (c *conn) Write(p []byte) (int, error) {
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeLimit))
-	n, err := c.nc.Write(p)
-	c.bytes.Out.Add(int64(n))
+// Write implements io.Writer.
+func (c *counted) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(writeLimit))
+	n, err := c.Conn.Write(p)
+	c.own.Out.Add(int64(n))
 	c.total.Out.Add(int64(n))
 	return n, err
 }
 
-// send writes one message. A caller does not wait for the connection longer
-// than its context allows.
-func (c *conn) send(ctx context.Context, f frame) error {
-	select {
-	case c.out <- struct{}{}:
-	case <-c.done:
-		return errClosed
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	defer func() { <-c.out }()
-	err := writeFrame(c, f)
-	if err != nil && !errors.Is(err, errTooLarge) {
-		c.close() // part of the message may be on the wire
-	}
-	return err
-}
+// close ends the connection and every call on it.
+func (c *conn) close() { _ = c.rpc.Close() }
 
 // call sends a request and waits for its answer.
 func (c *conn) call(ctx context.Context, method string, params, result any) error {
-	body, err := json.Marshal(params)
-	if err != nil {
-		return errors.Wrap(err, method)
-	}
-	id, answer, err := c.register()
-	if err != nil {
-		return errors.Wrap(err, method)
-	}
-	defer c.forget(id)
-	if err := c.send(ctx, frame{ID: &id, Method: method, Params: body}); err != nil {
-		return errors.Wrap(err, method)
-	}
-	select {
-	case f := <-answer:
-		return decodeAnswer(method, f, result)
-	case <-c.done:
-		return errors.Wrap(errClosed, method)
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), method)
+	err := c.rpc.Call(ctx, method, params, result)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		err = errClosed
 	}
-}
-
-func decodeAnswer(method string, f frame, result any) error {
-	if f.Error != nil {
-		return errors.Wrap(f.Error, method)
-	}
-	if result == nil || len(f.Result) == 0 {
-		return nil
-	}
-	return errors.Wrap(json.Unmarshal(f.Result, result), method)
-}
-
-func (c *conn) register() (uint64, chan frame, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return 0, nil, errClosed
-	}
-	c.next++
-	answer := make(chan frame, 1)
-	c.pending[c.next] = answer
-	return c.next, answer, nil
-}
-
-func (c *conn) forget(id uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.pending, id)
+	return errors.Wrap(err, method)
 }
 
 // notify sends a request without an answer.
 func (c *conn) notify(ctx context.Context, method string, params any) error {
-	body, err := json.Marshal(params)
-	if err != nil {
-		return errors.Wrap(err, method)
+	err := c.rpc.Notify(ctx, method, params)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		err = errClosed
 	}
-	return errors.Wrap(c.send(ctx, frame{Method: method, Params: body}), method)
+	return errors.Wrap(err, method)
 }
 
-func (c *conn) read(ctx context.Context) {
-	defer c.close()
-	r := bufio.NewReader(c)
-	for {
-		f, err := readFrame(r)
-		if err != nil {
-			return
-		}
-		switch {
-		case f.Method == "":
-			c.deliver(f)
-		case f.ID == nil:
-			// Notifications keep their order, so a handler must not block.
-			_, _ = c.handle(ctx, c, request{method: f.Method, params: f.Params, notify: true})
-		default:
-			if !c.serve(ctx, f) {
-				return
-			}
-		}
+// handle runs a notification at once, so that notifications keep their order,
+// and a request beside the others of the connection.
+func (c *conn) handle(ctx context.Context, r *jsonrpc2.Request) {
+	req := request{method: r.Method, notify: r.Notif}
+	if r.Params != nil {
+		req.params = *r.Params
 	}
-}
-
-func (c *conn) deliver(f frame) {
-	if f.ID == nil {
+	if r.Notif {
+		_, _ = c.serve(ctx, c, req)
 		return
 	}
-	c.mu.Lock()
-	answer := c.pending[*f.ID]
-	delete(c.pending, *f.ID)
-	c.mu.Unlock()
-	if answer != nil {
-		answer <- f
-	}
-}
-
-// serve runs a request beside the others of the connection.
-func (c *conn) serve(ctx context.Context, f frame) bool {
 	select {
 	case c.slots <- struct{}{}:
 	case <-ctx.Done():
-		return false
+		return
 	}
 	go func() {
 		defer func() { <-c.slots }()
-		result, err := c.handle(ctx, c, request{method: f.Method, params: f.Params})
-		_ = c.send(ctx, answerOf(f.ID, result, err))
-		if r, ok := result.(releaser); ok {
-			r.release()
-		}
+		result, err := c.serve(ctx, c, req)
+		c.answer(ctx, r.ID, result, err)
 	}()
-	return true
 }
 
 // releaser is an answer that holds something until it is on the wire.
@@ -235,13 +149,15 @@
 
 const codeFailed = -32000 // first code that JSON-RPC leaves to applications
 
-func answerOf(id *uint64, result any, err error) frame {
-	out := frame{ID: id}
+func (c *conn) answer(ctx context.Context, id jsonrpc2.ID, result any, err error) {
 	if err == nil {
-		out.Result, err = json.Marshal(result)
+		err = c.rpc.Reply(ctx, id, result)
+		if r, ok := result.(releaser); ok {
+			c.stream.flushed()
+			r.release()
+		}
 	}
 	if err != nil {
-		out.Error = &Error{Code: codeFailed, Message: err.Error()}
+		_ = c.rpc.ReplyWithError(ctx, id, &jsonrpc2.Error{Code: codeFailed, Message: err.Error()})
 	}
-	return out
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,7 +7,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"slices"
 	"strings"
@@ -17,6 +16,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
@@ -204,46 +204,46 @@
 	}
 }
 
-// TestFrameLimit guards against a length that makes a node take memory, and
+// TestMessageLimit guards against a length that makes a node take memory, and
 // against a message that the other side would refuse.
-func TestFrameLimit(t *testing.T) {
+func TestMessageLimit(t *testing.T) {
+	var v any
 	huge := binary.AppendUvarint(nil, maxMessageBytes+1)
-	_, err := readFrame(bufio.NewReader(bytes.NewReader(huge)))
+	err := boundedCodec{}.ReadObject(bufio.NewReader(bytes.NewReader(huge)), &v)
+	assert.Assert(t, errors.Is(err, errTooLarge))
+	_, err = boundedCodec{}.encode(strings.Repeat("x", maxMessageBytes))
 	assert.Assert(t, errors.Is(err, errTooLarge))
-	params, _ := json.Marshal(strings.Repeat("x", maxMessageBytes))
-	assert.Assert(t, errors.Is(writeFrame(io.Discard, frame{Method: "pull", Params: params}), errTooLarge))
 }
 
-// FuzzFrame guards against input that breaks the reader, and against a frame
-// that is not the same after writing and reading.
-func FuzzFrame(f *testing.F) {
-	for _, m := range []frame{
-		{Method: methodHeartbeat, Params: json.RawMessage(`{"id":"a","pos":{"era":1,"offset":2}}`)},
-		{Method: methodPull, Params: json.RawMessage(`{"from":null}`), ID: new(uint64)},
-		{ID: new(uint64), Result: json.RawMessage(`[]`)},
-		{ID: new(uint64), Error: &Error{Code: codeFailed, Message: "no"}},
+// FuzzMessage guards against input that breaks the reader, and against a
+// message that is not the same after writing and reading.
+func FuzzMessage(f *testing.F) {
+	for _, m := range []string{
+		`{"jsonrpc":"2.0","method":"heartbeat","params":{"id":"a","pos":{"era":1,"offset":2}}}`,
+		`{"jsonrpc":"2.0","id":1,"method":"pull","params":{"from":null}}`, `{"jsonrpc":"2.0","id":1,"result":[]}`,
 	} {
-		var buf bytes.Buffer
-		assert.NilError(f, writeFrame(&buf, m))
-		f.Add(buf.Bytes())
+		data, err := boundedCodec{}.encode(json.RawMessage(m))
+		assert.NilError(f, err)
+		f.Add(data)
 	}
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01})
 	f.Add([]byte{5, '{'})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		m, err := readFrame(bufio.NewReader(bytes.NewReader(data)))
-		if err != nil {
+		var r jsonrpc2.Request
+		if (boundedCodec{}).ReadObject(bufio.NewReader(bytes.NewReader(data)), &r) != nil {
 			return
 		}
-		var buf bytes.Buffer
-		assert.NilError(t, writeFrame(&buf, m))
-		again, err := readFrame(bufio.NewReader(&buf))
+		wire, err := boundedCodec{}.encode(r)
 		assert.NilError(t, err)
-		assert.Equal(t, again.Method, m.Method)
-		s := NewServer(&fakeNode{}, "", &Counters{})
-		if m.Method == methodHeartbeat || m.Method == methodPull {
-			_ = s.notified(request{method: methodHeartbeat, params: m.Params})
-			_, _ = s.answer(t.Context(), request{method: methodPull, params: m.Params})
+		var again jsonrpc2.Request
+		assert.NilError(t, boundedCodec{}.ReadObject(bufio.NewReader(bytes.NewReader(wire)), &again))
+		assert.Equal(t, again.Method, r.Method)
+		if r.Params == nil {
+			return
 		}
+		s := NewServer(&fakeNode{}, "", &Counters{})
+		_ = s.notified(request{method: methodHeartbeat, params: *r.Params})
+		_, _ = s.answer(t.Context(), request{method: methodPull, params: *r.Params})
 	})
 }
 
