--- a/cmd/goldcrestctl/demo.go
+++ b/cmd/goldcrestctl/demo.go
@@ -12,7 +12,7 @@
 func newDemoCommand() *cobra.Command {
 	var stay bool
 	cmd := &cobra.Command{
-		Use: "demo", Short: "Run a whole system in this process and show what it does", Args: cobra.NoArgs,
+		Use: "demo", Short: "Run a whole system in this process and show what it does", Args: usage(cobra.NoArgs),
 		Long: "Demo runs a log, three backend servers and their nodes on free loopback ports, publishes a profile, sends\n" +
 			"calls, kills a backend server and ends by itself. It exits with 0 when every step held, else with 1.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/cmd/goldcrestctl/dev.go
+++ b/cmd/goldcrestctl/dev.go
@@ -27,9 +27,14 @@
 	var listen string
 	var retention time.Duration
 	cmd := &cobra.Command{
-		Use: "log", Short: "Run a stand-in of the platform's log with an empty configuration", Args: cobra.NoArgs,
+		Use: "log", Short: "Run a stand-in of the platform's log with an empty configuration", Args: usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serveStandin(cmd, listen, standin.NewLog(retention, time.Now).Handler(), func(ctx context.Context, address string) error {
+			srv := &http.Server{Handler: standin.NewLog(retention, time.Now).Handler(), ReadHeaderTimeout: 10 * time.Second}
+			serve := func(ctx context.Context, ln net.Listener) error {
+				defer context.AfterFunc(ctx, func() { _ = srv.Close() })()
+				return srv.Serve(ln)
+			}
+			return serveStandin(cmd, listen, serve, func(ctx context.Context, address string) error {
 				return operator.NewClient(platformlog.NewClient(address, nil), "dev", time.Now).Init(ctx)
 			})
 		},
@@ -44,10 +49,11 @@
 	var slots int
 	var serviceTime time.Duration
 	cmd := &cobra.Command{
-		Use: "backend", Short: "Run a stand-in of a backend server", Args: cobra.NoArgs,
+		Use: "backend", Short: "Run a stand-in of a backend server", Args: usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			b := standin.NewBackend(service+"@"+listen, slots, serviceTime)
-			return serveStandin(cmd, listen, b.Handler(), func(context.Context, string) error { return nil })
+			serve := func(ctx context.Context, ln net.Listener) error { return b.Serve(ctx, ln, standin.ListenTCP) }
+			return serveStandin(cmd, listen, serve, func(context.Context, string) error { return nil })
 		},
 	}
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7200", "address to listen on, ip:port")
@@ -58,16 +64,15 @@
 }
 
 // serveStandin serves until a signal and prints its address once it is ready.
-func serveStandin(cmd *cobra.Command, listen string, h http.Handler, ready func(ctx context.Context, address string) error) error {
+func serveStandin(cmd *cobra.Command, listen string, serve func(context.Context, net.Listener) error, ready func(ctx context.Context, address string) error) error {
 	ln, err := net.Listen("tcp", listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
 	ctx, cancel := context.WithCancel(cmd.Context())
 	defer cancel()
 	var g run.Group
-	g.Add(func() error { return srv.Serve(ln) }, func(error) { _ = srv.Close() })
+	g.Add(func() error { return serve(ctx, ln) }, func(error) { cancel() })
 	g.Add(func() error {
 		if err := ready(ctx, ln.Addr().String()); err != nil {
 			return err
--- a/cmd/goldcrestctl/nodes.go
+++ b/cmd/goldcrestctl/nodes.go
@@ -31,7 +31,7 @@
 	var node string
 	var output outputFlag
 	cmd := &cobra.Command{
-		Use: "status --node ADDRESS", Short: "Show what every node holds", Args: cobra.NoArgs,
+		Use: "status --node ADDRESS", Short: "Show what every node holds", Args: usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			rows, err := fetchRows(cmd.Context(), node)
 			if err != nil {
@@ -52,14 +52,13 @@
 
 func addNodeFlag(cmd *cobra.Command, node *string) {
 	cmd.Flags().StringVar(node, "node", "", "admin address of any node, ip:port")
-	_ = cmd.MarkFlagRequired("node")
 }
 
 func newWatchCommand() *cobra.Command {
 	var node, position string
 	var timeout time.Duration
 	cmd := &cobra.Command{
-		Use: "watch --node ADDRESS", Short: "Wait until every node holds a position", Args: cobra.NoArgs,
+		Use: "watch --node ADDRESS", Short: "Wait until every node holds a position", Args: usage(cobra.NoArgs),
 		Long: "Watch shows how many nodes hold the position wanted and ends when all do. Without --position it waits for\n" +
 			"the highest position of the first answer. At the timeout it names the missing nodes and exits with 1.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -67,7 +66,7 @@
 			if position != "" {
 				p, err := parsePosition(position)
 				if err != nil {
-					return err
+					return usageError(err)
 				}
 				w.want = &p
 			}
@@ -182,7 +181,7 @@
 
 func newDumpCommand() *cobra.Command {
 	return &cobra.Command{
-		Use: "dump ADDRESS", Short: "Print the state of a node's parts", Args: cobra.ExactArgs(1),
+		Use: "dump ADDRESS", Short: "Print the state of a node's parts", Args: usage(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			body, err := ask(cmd.Context(), http.MethodGet, args[0], "/dump")
 			if err != nil {
@@ -196,7 +195,7 @@
 
 func newDrainCommand() *cobra.Command {
 	return &cobra.Command{
-		Use: "drain ADDRESS", Short: "Let a node finish its calls and leave", Args: cobra.ExactArgs(1),
+		Use: "drain ADDRESS", Short: "Let a node finish its calls and leave", Args: usage(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			_, err := ask(cmd.Context(), http.MethodPost, args[0], "/v1/drain")
 			return err
@@ -206,6 +205,9 @@
 
 // ask sends a request to a node's admin address and returns the body.
 func ask(ctx context.Context, method, address, path string) ([]byte, error) {
+	if address == "" {
+		return nil, usageError(errors.New("the admin address of a node is missing, see --node"))
+	}
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
--- a/cmd/goldcrestctl/publish.go
+++ b/cmd/goldcrestctl/publish.go
@@ -12,9 +12,11 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 )
 
-// changeResult lists the versions that a change made.
+// changeResult lists the versions that a change made and the position from
+// which on a node holds them, for watch.
 type changeResult struct {
-	Changes []changeRow `json:"changes"`
+	Changes  []changeRow       `json:"changes"`
+	Position *profile.Position `json:"position,omitempty"`
 }
 
 type changeRow struct {
@@ -33,7 +35,8 @@
 			return err
 		}
 	}
-	return nil
+	_, err := fmt.Fprintf(w, "position %s\n", r.Position)
+	return err
 }
 
 // submit sends the edits as one change; without edits there is nothing to do.
@@ -46,6 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.Position = &s.Position
 	for _, e := range edits {
 		r.Changes = append(r.Changes, changeRow{Op: e.Op, Document: e.Key, Version: s.Entries[e.Key].Version})
 	}
--- a/cmd/goldcrestctl/quarantine.go
+++ b/cmd/goldcrestctl/quarantine.go
@@ -19,7 +19,7 @@
 	var address string
 	var output outputFlag
 	cmd := &cobra.Command{
-		Use: "quarantine --node ADDRESS", Short: "List the requests that crashed backend servers", Args: cobra.NoArgs,
+		Use: "quarantine --node ADDRESS", Short: "List the requests that crashed backend servers", Args: usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			body, err := ask(cmd.Context(), http.MethodGet, address, "/v1/quarantine")
 			if err != nil {
@@ -33,7 +33,6 @@
 		},
 	}
 	cmd.PersistentFlags().StringVar(&address, "node", "", "admin address of any node, ip:port")
-	_ = cmd.MarkPersistentFlagRequired("node")
 	output.add(cmd)
 	cmd.AddCommand(newLiftCommand(&address))
 	return cmd
@@ -41,7 +40,7 @@
 
 func newLiftCommand(address *string) *cobra.Command {
 	return &cobra.Command{
-		Use: "lift FINGERPRINT", Short: "Let a request run again on every node", Args: cobra.ExactArgs(1),
+		Use: "lift FINGERPRINT", Short: "Let a request run again on every node", Args: usage(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			fp, err := quarantine.ParseFingerprint(args[0])
 			if err != nil {
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -59,8 +59,6 @@
 	ReasonDeadline       = "deadline"
 	ReasonQuarantined    = "quarantined"
 	ReasonSuspectBusy    = "suspect_busy"
-	ReasonCanceled       = "canceled"
-	ReasonMismatch       = "answer_mismatch"
 	ReasonBudget         = "cross_region_budget"
 )
 
