--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -41,6 +41,7 @@
 	warmAt time.Time      // guarded by mu; end of the cold start
 	keys   map[string]int // guarded by mu; runs by idempotency key
 	crash  func()         // guarded by mu; set while Serve runs
+	onRun  func(*http.Request)
 }
 
 // NewBackend returns a backend server that takes the given time for a call.
@@ -48,6 +49,10 @@
 	return &Backend{name: name, service: serviceTime, slots: make(chan struct{}, slots), keys: map[string]int{}}
 }
 
+// OnRun sets what is told of each call that is run. It must be set before the
+// first call.
+func (b *Backend) OnRun(f func(*http.Request)) { b.onRun = f }
+
 // Ran returns the calls that it ran.
 func (b *Backend) Ran() int64 { return b.ran.Load() }
 
@@ -173,6 +178,9 @@
 
 func (b *Backend) count(r *http.Request) {
 	b.ran.Add(1)
+	if b.onRun != nil {
+		b.onRun(r)
+	}
 	key := r.Header.Get("Idempotency-Key")
 	if key == "" {
 		return
