Write a checkpoint when the log has dropped the newest one

Cause: after the log expired every record early, publishes failed with "the log holds no configuration" until the checkpoint was a quarter of the retention old: checkpointDue looked only at its age (TestLogExpiredWholly, red). Change: each reader compares the first retained offset with the highest at which the newest checkpoint still leaves no gap, and wakes the checkpointer. The log stand-in tells the offsets at the end of a long poll, not at its begin.

--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -75,6 +75,9 @@
 	ready     atomic.Bool
 	readyDone chan struct{}
 	retention atomic.Int64 // of the log, in ns; 0 until a reader has seen it
+
+	logFirst   atomic.Int64  // first retained offset that a read told
+	unanchored chan struct{} // the log may have dropped its newest checkpoint
 }
 
 // NewAgent returns an Agent.
@@ -88,7 +91,7 @@
 		outbox:    shard.NewMap[outgoing](shard.DefaultCount),
 		transfer:  make(chan struct{}, maxTransfers),
 		found:     make(chan struct{}),
-		readyDone: make(chan struct{}),
+		readyDone: make(chan struct{}), unanchored: make(chan struct{}, 1),
 	}
 	a.base, a.stop = context.WithCancel(context.Background())
 	a.Table.Merge([]membership.Member{cfg.Self})
--- a/internal/distribution/checkpointer.go
+++ b/internal/distribution/checkpointer.go
@@ -29,7 +29,8 @@
 // no leader: a reader waits by its rank and writes when nobody else did.
 func (a *Agent) writeCheckpoints(ctx context.Context) error {
 	for {
-		if !sleep(ctx, a.checkpointWait()) {
+		waitFor(ctx, a.unanchored, a.checkpointWait())
+		if ctx.Err() != nil {
 			return nil
 		}
 		if _, ok := a.awaitRole(ctx); !ok {
@@ -61,15 +62,16 @@
 	return retention / checkpointShare / checkpointChecks
 }
 
-// checkpointDue reports whether the newest checkpoint is too old, or lacks
-// documents that this node applied from a log that was lost.
+// checkpointDue reports whether the newest checkpoint is too old or gone, or
+// lacks documents that this node applied from a log that was lost.
 func (a *Agent) checkpointDue(now time.Time) bool {
 	p := a.core.published.Load()
 	retention := time.Duration(a.retention.Load())
 	if p == nil || p.NewSchema || retention <= 0 {
 		return false
 	}
-	return now.Sub(p.CheckpointTime) >= retention/checkpointShare || holdsMore(p.Applied, p.Folded)
+	gone := a.logFirst.Load() > p.Anchors
+	return gone || now.Sub(p.CheckpointTime) >= retention/checkpointShare || holdsMore(p.Applied, p.Folded)
 }
 
 // holdsMore reports whether a has a document in a higher version than b.
--- a/internal/distribution/core.go
+++ b/internal/distribution/core.go
@@ -28,6 +28,7 @@
 	Applied        profile.State // Folded joined with what was applied before
 	TipID          string        // id of the last record folded, "" when unreadable
 	CheckpointTime time.Time     // of the newest checkpoint folded
+	Anchors        int64         // highest first retained offset at which that checkpoint holds the state
 	NewSchema      bool          // the next record needs a newer build
 	Ring           []record      // records after RingFrom, in order
 	RingFrom       int64
@@ -118,7 +119,7 @@
 		return nil // a node that is behind never moves another back
 	}
 	c.fold = profile.NewFoldFrom(s)
-	next := &published{Folded: s, Applied: s, TipID: full.TipID, CheckpointTime: full.CheckpointTime, RingFrom: s.Position.Offset}
+	next := &published{Folded: s, Applied: s, TipID: full.TipID, CheckpointTime: full.CheckpointTime, Anchors: full.Anchors, RingFrom: s.Position.Offset}
 	if have != nil {
 		next.Applied = profile.Join(s, have.Applied)
 	}
@@ -154,6 +155,7 @@
 	p.TipID = head.ID
 	if head.Kind == profile.RecordCheckpoint || head.Kind == profile.RecordGenesis {
 		p.CheckpointTime = head.Time
+		p.Anchors = head.anchors()
 	}
 	p.Ring = append(slices.Clip(p.Ring), r)
 	if over := len(p.Ring) - ringSize; over > 0 {
@@ -167,6 +169,19 @@
 	ID   string             `json:"id"`
 	Kind profile.RecordKind `json:"kind"`
 	Time time.Time          `json:"time"`
+
+	Checkpoint *struct {
+		Through int64 `json:"through"`
+	} `json:"checkpoint"`
+}
+
+// anchors returns the highest first retained offset at which a genesis record
+// or checkpoint leaves no gap.
+func (h recordHead) anchors() int64 {
+	if h.Checkpoint == nil {
+		return 0
+	}
+	return h.Checkpoint.Through + 1
 }
 
 func headOf(data []byte) recordHead {
@@ -190,5 +205,5 @@
 }
 
 func fullOf(p *published) peer.FullState {
-	return peer.FullState{Checkpoint: profile.CheckpointOf(p.Folded), TipID: p.TipID, CheckpointTime: p.CheckpointTime}
+	return peer.FullState{Checkpoint: profile.CheckpointOf(p.Folded), TipID: p.TipID, CheckpointTime: p.CheckpointTime, Anchors: p.Anchors}
 }
--- a/internal/distribution/reader.go
+++ b/internal/distribution/reader.go
@@ -86,9 +86,25 @@
 	if err == nil && b.Retention > 0 {
 		r.retention.Store(int64(b.Retention))
 	}
+	var out *platformlog.RangeError
+	switch {
+	case err == nil:
+		r.noteFirst(b.First)
+	case errors.As(err, &out):
+		r.noteFirst(out.First)
+	}
 	return b, err
 }
 
+// noteFirst notes the first retained offset. Records may go before the time
+// that the service promised, and the newest checkpoint with them.
+func (r *reader) noteFirst(first int64) {
+	r.logFirst.Store(first)
+	if p := r.core.published.Load(); p != nil && first > p.Anchors {
+		wake(r.unanchored)
+	}
+}
+
 // step makes one read and hands what it brought to the core.
 func (r *reader) step(ctx context.Context) error {
 	p := r.core.published.Load()
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -110,6 +110,9 @@
 	Checkpoint     *profile.Checkpoint `json:"checkpoint"`
 	TipID          string              `json:"tipId,omitempty"`
 	CheckpointTime time.Time           `json:"checkpointTime"`
+	// Anchors is the highest first retained offset at which that checkpoint
+	// still gives a reader the whole state.
+	Anchors int64 `json:"anchors"`
 }
 
 // MemberEntries are changed entries and suspicions to merge.
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -254,7 +254,7 @@
 		select {
 		case <-grown:
 		case <-deadline.C:
-			return status, out, nil
+			wait = 0 // the next read tells the offsets as they are now
 		case <-ctx.Done():
 			return 0, platformlog.ReadResponse{}, ctx.Err()
 		}
