--- a/bench/calls_world.go
+++ b/bench/calls_world.go
@@ -175,14 +175,15 @@
 }
 
 // callsFaults names the faults; their order is that of the cases below.
-var callsFaults = [...]string{"crash", "hang", "cut answers", "shed", "node restart", "log down", "log loses answers"}
+var callsFaults = [...]string{"crash", "hang", "cut answers", "shed", "stall after the run", "node restart", "log down", "log loses answers"}
 
 // callsFirstOfLog is the first fault that hits the log, not a member.
-const callsFirstOfLog = 5
+const callsFirstOfLog = 6
 
 const (
 	callsFaultGap  = 150 * time.Millisecond // mean time between two faults
 	callsFaultTime = 500 * time.Millisecond // mean length of a fault
+	callsStall     = 1000                   // times the work: longer than the time limit of a call that has begun to run
 	callsLogPart   = 3                      // faults of the log are that much shorter, since no keyed call runs in one
 	callsCutMost   = 4 << 10                // bytes before an answer is cut
 )
@@ -239,17 +240,19 @@
 	case 3:
 		during(standin.BackendFaults{Shed: true})
 	case 4:
+		during(standin.BackendFaults{SlowFactor: callsStall})
+	case 5:
 		n := m.node.Load()
 		n.stop()
 		<-n.ended
 		if err := w.startNode(i); err != nil {
 			panic(err) // loopback has a free port
 		}
-	case 5:
+	case 6:
 		w.log.SetFaults(standin.LogFaults{Down: true})
 		wait(ctx, length)
 		w.log.SetFaults(standin.LogFaults{})
-	case 6:
+	case 7:
 		w.log.SetFaults(standin.LogFaults{LoseAnswers: 1 + int(size%8)})
 		wait(ctx, length)
 		w.log.SetFaults(standin.LogFaults{})
