Retry only at the layer next to a failure when servers hide its cause

Change: a node's front notes its failures; its guard marks a 5xx of the backend server that follows one during the same call with retries_exhausted, so that no layer above retries it. Figures: in the test, backend servers ran a failing call twice before and once after; with the rule taken out the test fails.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -48,12 +48,15 @@
 	})
 	c.backend = proxy.NewLink(proxy.LinkConfig{MaxConns: n.settings.BackendServer.Connections})
 	c.nodes = proxy.NewLink(proxy.LinkConfig{})
+	downstream := &proxy.Downstream{}
 	n.front = proxy.NewFront(proxy.FrontConfig{
-		Holder: n.holder, Link: c.nodes, Balancer: balance.NewBalancer(c.stats, locality(self), rand.Uint64), Stats: c.stats,
+		Downstream: downstream,
+		Holder:     n.holder, Link: c.nodes, Balancer: balance.NewBalancer(c.stats, locality(self), rand.Uint64), Stats: c.stats,
 		Budgets: c.budgets, Latencies: c.latencies, Quarantine: c.quarantine, News: c.suspects.tell,
 	})
 	n.guard = proxy.NewGuard(proxy.GuardConfig{
-		Self: self.ID, Address: n.settings.BackendServer.Address, Link: c.backend, Peers: c.nodes,
+		Downstream: downstream,
+		Self:       self.ID, Address: n.settings.BackendServer.Address, Link: c.backend, Peers: c.nodes,
 		Gate: c.gate, Once: c.once, Quarantine: c.quarantine, InFlight: quarantine.NewInFlight(), GuardOf: n.guardOf,
 		News: c.suspects.tell,
 	})
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -176,6 +176,9 @@
 func (c *call) give(t *tried) {
 	t = c.truthful(t)
 	c.finish(t, false)
+	if t.status() >= http.StatusInternalServerError || t.answer == nil {
+		c.front.cfg.Downstream.noteFailure(time.Now())
+	}
 	if t.answer == nil {
 		c.failureOf(t).write(c.w)
 		return
--- /dev/null
+++ b/internal/proxy/downstream_test.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/retry"
+)
+
+// TestOnlyTheLayerNextToAFailureRetries guards against retries that multiply
+// along a chain of services whose servers answer 500 and do not pass on why.
+func TestOnlyTheLayerNextToAFailureRetries(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		fails  bool // a call of the backend server fails before it answers
+		reason string
+		ran    int64
+	}{
+		{"failure of its own", false, retry.ReasonExhausted, 2}, // one retry, then given up
+		{"failure passed on", true, retry.ReasonExhausted, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var ran atomic.Int64
+				below := &Downstream{}
+				w := newWorld(t, "ab", counting(&ran, func(_ string, w http.ResponseWriter, _ *http.Request) {
+					time.Sleep(time.Millisecond)
+					if tc.fails {
+						below.noteFailure(time.Now())
+					}
+					w.WriteHeader(http.StatusInternalServerError)
+				}), nil)
+				for _, n := range w.nodes {
+					n.guard.cfg.Downstream = below
+				}
+				got := w.call("GET", "/", "", nil)
+				assert.Equal(t, got.status, http.StatusInternalServerError)
+				assert.Equal(t, got.reason, tc.reason)
+				assert.Equal(t, ran.Load(), tc.ran)
+			})
+		})
+	}
+}
+
+// TestFrontNotesFailures guards against a Front that does not tell its Guard
+// of a failed call.
+func TestFrontNotesFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a", nil, nil) // no backend server
+		w.front.cfg.Downstream = &Downstream{}
+		begun := time.Now()
+		assert.Assert(t, !w.front.cfg.Downstream.failedSince(begun))
+		w.call("GET", "/", "", nil)
+		assert.Assert(t, w.front.cfg.Downstream.failedSince(begun))
+	})
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -23,6 +23,7 @@
 	Budgets    *retry.Budgets
 	Latencies  *retry.Latencies
 	Quarantine *quarantine.List
+	Downstream *Downstream // told of failures; shared with the Guard; nil for none
 	// News takes quarantine entries that other nodes should hear of; nil drops
 	// them.
 	News func([]quarantine.Entry)
--- a/internal/proxy/guard.go
+++ b/internal/proxy/guard.go
@@ -22,6 +22,7 @@
 	Once       *once.Coordinator // nil refuses calls that must run at most once
 	Quarantine *quarantine.List
 	InFlight   *quarantine.InFlight
+	Downstream *Downstream // tells whether calls of the backend server failed; nil for none
 	// GuardOf returns the address of the guard of a holder that is alive.
 	GuardOf func(once.Holder) (string, bool)
 	// News takes quarantine entries that other nodes should hear of; nil drops
@@ -92,6 +93,7 @@
 	r        *http.Request
 	rc       *http.ResponseController
 	ctx      context.Context
+	begun    time.Time
 	deadline time.Time
 	rule     string // form of keys when the call must run at most once
 	repeat   bool   // the call may run more than once
@@ -109,13 +111,14 @@
 	if !ok {
 		limit = defaultWait
 	}
+	now := time.Now()
 	v := &visit{
-		guard: g, w: w, r: r, rc: rc, ctx: r.Context(), deadline: time.Now().Add(limit),
+		guard: g, w: w, r: r, rc: rc, ctx: r.Context(), begun: now, deadline: now.Add(limit),
 		rule: r.Header.Get(HeaderOnce), repeat: r.Header.Get(HeaderRepeat) != "",
 		body: newKeptBody(r), early: &earlyHints{w: w},
 	}
 	if text := r.Header.Get(HeaderQuarantine); text != "" {
-		if news := g.cfg.Quarantine.Merge(parseEntries(text), time.Now()); len(news) > 0 {
+		if news := g.cfg.Quarantine.Merge(parseEntries(text), now); len(news) > 0 {
 			g.cfg.News(news)
 		}
 	}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -227,7 +227,8 @@
 func (v *visit) relay(a *answer) (int64, error) {
 	h := a.Header
 	hops := answerHops(h)
-	exhausted := h.Get(HeaderReason) == retry.ReasonExhausted
+	exhausted := h.Get(HeaderReason) == retry.ReasonExhausted ||
+		a.StatusCode >= http.StatusInternalServerError && v.guard.cfg.Downstream.failedSince(v.begun)
 	delete(h, HeaderReason)
 	delete(h, HeaderQuarantine)
 	v.tag(h)
