--- /dev/null
+++ b/internal/reference/proofs_test.go
@@ -0,0 +1,41 @@
+package reference
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+var proofName = regexp.MustCompile("`([a-z0-9]+)\\.((?:Test|Fuzz)[A-Za-z0-9_]+)`")
+
+// TestProofsExist guards against a proof on the page that no test gives.
+func TestProofsExist(t *testing.T) {
+	page, err := os.ReadFile("../../docs/PROOFS.md")
+	assert.NilError(t, err)
+	proofs := proofName.FindAllStringSubmatch(string(page), -1)
+	assert.Assert(t, len(proofs) > 0)
+	for _, p := range proofs {
+		dir := filepath.Join("..", p[1])
+		if p[1] == "ctl" {
+			dir = "../../cmd/goldcrestctl"
+		}
+		assert.Check(t, hasTest(t, dir, p[2]), "%s.%s does not exist", p[1], p[2])
+	}
+}
+
+func hasTest(t *testing.T, dir, name string) bool {
+	files, err := filepath.Glob(filepath.Join(dir, "*_test.go"))
+	assert.NilError(t, err)
+	def := regexp.MustCompile(`(?m)^func ` + name + `\(`)
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		assert.NilError(t, err)
+		if def.Match(data) {
+			return true
+		}
+	}
+	return false
+}
