Put the waits of background loops into one package

Cause: six packages had their own wait with a context, two their own full jitter. Change: internal/wait; the copies are gone.

--- a/bench/calls.go
+++ b/bench/calls.go
@@ -20,6 +20,7 @@
 
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 	"github.com/goldcrestshed/goldcrestshed/internal/standin"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 func init() { measures["calls"] = measureCalls }
@@ -106,7 +107,7 @@
 	sent := [2][]*callsCaller{}
 	start := time.Now()
 	for i := range callsTotal {
-		wait(w.ctx, time.Until(start.Add(time.Duration(i)*callsGap)))
+		wait.For(w.ctx, time.Until(start.Add(time.Duration(i)*callsGap)))
 		for p, path := range []*callsPath{ours, direct} {
 			c := newCallsCaller(path, rand.New(rand.NewPCG(seed, uint64(2*i+p+3))))
 			sent[p] = append(sent[p], c)
--- a/bench/calls_world.go
+++ b/bench/calls_world.go
@@ -23,6 +23,7 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/shard"
 	"github.com/goldcrestshed/goldcrestshed/internal/standin"
 	"github.com/goldcrestshed/goldcrestshed/internal/telemetry"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 const (
@@ -191,7 +192,7 @@
 // causeFaults causes drawn faults until ctx ends, then ends them all.
 func (w *callsWorld) causeFaults(ctx context.Context, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 2))
-	for wait(ctx, exponential(r, callsFaultGap)) {
+	for wait.For(ctx, exponential(r, callsFaultGap)) {
 		kind, m, length, size := r.IntN(len(callsFaults)), r.IntN(callsNodes), exponential(r, callsFaultTime), r.Int64N(callsCutMost)
 		busy := &w.members[m].busy
 		if kind >= callsFirstOfLog {
@@ -210,24 +211,12 @@
 	w.log.SetFaults(standin.LogFaults{})
 }
 
-// wait reports false when the context ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // cause causes a fault and returns at its end.
 func (w *callsWorld) cause(ctx context.Context, kind, i int, length time.Duration, size int64) {
 	m := &w.members[i]
 	during := func(f standin.BackendFaults) {
 		m.backend.SetFaults(f)
-		wait(ctx, length)
+		wait.For(ctx, length)
 		m.backend.SetFaults(standin.BackendFaults{})
 	}
 	switch kind {
@@ -250,11 +239,11 @@
 		}
 	case 6:
 		w.log.SetFaults(standin.LogFaults{Down: true})
-		wait(ctx, length)
+		wait.For(ctx, length)
 		w.log.SetFaults(standin.LogFaults{})
 	case 7:
 		w.log.SetFaults(standin.LogFaults{LoseAnswers: 1 + int(size%8)})
-		wait(ctx, length)
+		wait.For(ctx, length)
 		w.log.SetFaults(standin.LogFaults{})
 	}
 }
@@ -269,7 +258,7 @@
 	if resp, err := http.DefaultClient.Do(req); err == nil {
 		_ = resp.Body.Close()
 	}
-	wait(ctx, length)
+	wait.For(ctx, length)
 	m.backend.SetFaults(standin.BackendFaults{})
 }
 
--- a/internal/distribution/builder.go
+++ b/internal/distribution/builder.go
@@ -6,6 +6,7 @@
 
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 // buildPause gathers changes of members into one generation. A change of the
@@ -30,7 +31,7 @@
 		case <-ctx.Done():
 		case <-advanced:
 		case <-a.changed:
-			waitFor(ctx, advanced, buildPause)
+			wait.Until(ctx, advanced, buildPause)
 		}
 	}
 	return nil
--- a/internal/distribution/checkpointer.go
+++ b/internal/distribution/checkpointer.go
@@ -11,6 +11,7 @@
 
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 const (
@@ -29,7 +30,7 @@
 // no leader: a reader waits by its rank and writes when nobody else did.
 func (a *Agent) writeCheckpoints(ctx context.Context) error {
 	for {
-		waitFor(ctx, a.unanchored, a.checkpointWait())
+		wait.Until(ctx, a.unanchored, a.checkpointWait())
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -40,7 +41,7 @@
 			continue
 		}
 		rank := time.Duration(a.topology.Load().Rank(a.Self))
-		if !sleep(ctx, rank*checkpointRank+rand.N(checkpointRank)) {
+		if !wait.For(ctx, rank*checkpointRank+rand.N(checkpointRank)) {
 			return nil
 		}
 		p := a.core.published.Load()
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -10,6 +10,7 @@
 
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 const (
@@ -25,7 +26,7 @@
 
 // announceSelf appends the own entry at start and from time to time.
 func (a *Agent) announceSelf(ctx context.Context) error {
-	if !sleep(ctx, rand.N(announceSpread)) {
+	if !wait.For(ctx, rand.N(announceSpread)) {
 		return nil
 	}
 	for {
@@ -35,11 +36,11 @@
 				break
 			}
 			a.Logger.Warn("announce_failed", "error", err)
-			if !sleep(ctx, fullJitter(attempt)) {
+			if !wait.For(ctx, wait.FullJitter(attempt)) {
 				return nil
 			}
 		}
-		if !sleep(ctx, announceEvery) {
+		if !wait.For(ctx, announceEvery) {
 			return nil
 		}
 	}
@@ -74,7 +75,7 @@
 		}
 		a.Logger.Warn("log_read_failed", "stream", platformlog.StreamMembers, "error", err)
 		attempt++
-		if !sleep(ctx, fullJitter(attempt)) {
+		if !wait.For(ctx, wait.FullJitter(attempt)) {
 			return nil
 		}
 	}
--- a/internal/distribution/reader.go
+++ b/internal/distribution/reader.go
@@ -9,6 +9,7 @@
 
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 const (
@@ -53,7 +54,7 @@
 		a.Logger.Warn("log_read_failed", "stream", platformlog.StreamConfig, "error", err)
 		r.verify = true
 		attempt++
-		if !sleep(ctx, fullJitter(attempt)) {
+		if !wait.For(ctx, wait.FullJitter(attempt)) {
 			return nil
 		}
 	}
@@ -112,7 +113,7 @@
 		return r.anchor(ctx)
 	}
 	if p.NewSchema {
-		waitFor(ctx, r.core.advanced.next(), readWait)
+		wait.Until(ctx, r.core.advanced.next(), readWait)
 		return nil
 	}
 	if r.verify && p.TipID != "" {
@@ -259,10 +260,10 @@
 	if done, err := r.follow(ctx); done || err != nil {
 		return err
 	}
-	wait := recoverWait + time.Duration(r.topology.Load().Rank(r.Self))*recoverRank + rand.N(recoverRank)
-	wait = max(wait, time.Until(r.opened.Add(recoverAgain)))
-	r.Logger.Warn("log_lost", "position", p.position().String(), "wait", wait)
-	if !sleep(ctx, wait) {
+	delay := recoverWait + time.Duration(r.topology.Load().Rank(r.Self))*recoverRank + rand.N(recoverRank)
+	delay = max(delay, time.Until(r.opened.Add(recoverAgain)))
+	r.Logger.Warn("log_lost", "position", p.position().String(), "wait", delay)
+	if !wait.For(ctx, delay) {
 		return nil
 	}
 	if own, _ := r.Position(); own != p.position() {
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -10,6 +10,7 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/peer"
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 const (
@@ -38,11 +39,11 @@
 // start applies the start rule: the node serves only once it holds what the
 // log held, or, when the log does not answer, what its peers hold.
 func (a *Agent) start(ctx context.Context) error {
-	if !sleep(ctx, rand.N(startSpread)) {
+	if !wait.For(ctx, rand.N(startSpread)) {
 		return nil
 	}
 	for attempt := 1; !a.startOnce(ctx); attempt++ {
-		if !sleep(ctx, fullJitter(attempt)) {
+		if !wait.For(ctx, wait.FullJitter(attempt)) {
 			return nil
 		}
 	}
@@ -207,6 +208,6 @@
 		if left := time.Until(limit); left <= 0 || ctx.Err() != nil {
 			return false
 		}
-		waitFor(ctx, advanced, time.Until(limit))
+		wait.Until(ctx, advanced, time.Until(limit))
 	}
 }
--- a/internal/once/batcher.go
+++ b/internal/once/batcher.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 const (
@@ -136,7 +137,7 @@
 			b.idle(ctx)
 			continue
 		}
-		if !b.pause(ctx, b.lastAppend.Add(appendEvery).Sub(b.cfg.Now())) {
+		if !wait.For(ctx, b.lastAppend.Add(appendEvery).Sub(b.cfg.Now())) {
 			first.finish(Verdict{}, errors.WithStack(ErrUnavailable))
 			b.stop()
 			return nil
@@ -196,21 +197,6 @@
 	}
 }
 
-// pause waits for a while, or less when ctx ends, which it reports.
-func (b *Batcher) pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // collect adds the requests that wait by now.
 func (b *Batcher) collect(first *request) []*request {
 	batch := []*request{first}
--- a/internal/once/coordinator.go
+++ b/internal/once/coordinator.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 const (
@@ -228,7 +230,7 @@
 			return Verdict{}, err
 		}
 		sent = true
-		if !sleep(ctx, claimRetry) {
+		if !wait.For(ctx, claimRetry) {
 			return Verdict{}, errors.Wrap(ErrUndecided, err.Error())
 		}
 	}
@@ -325,20 +327,8 @@
 		if err == nil {
 			err = to.Settle(ctx, s)
 		}
-		if err == nil || !sleep(ctx, settleRetry) {
+		if err == nil || !wait.For(ctx, settleRetry) {
 			return
 		}
 	}
 }
-
-// sleep waits and reports whether ctx still holds.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/once/fake_test.go
+++ b/internal/once/fake_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 // fakeLog is a log in virtual time with the faults of the platform's.
@@ -50,7 +51,7 @@
 	l.mu.Lock()
 	d := l.slow
 	l.mu.Unlock()
-	if d > 0 && !sleep(ctx, d) {
+	if d > 0 && !wait.For(ctx, d) {
 		return ctx.Err()
 	}
 	return nil
--- a/internal/platformlog/writer.go
+++ b/internal/platformlog/writer.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 const (
@@ -45,7 +47,7 @@
 		if err == nil || !a.again(err) {
 			return offset, err
 		}
-		if !pause(ctx, fullJitter(attempt)) {
+		if !wait.For(ctx, wait.FullJitter(attempt)) {
 			return 0, err
 		}
 	}
@@ -124,6 +126,6 @@
 			return 0, errors.WithStack(errAbsent)
 		}
 		// A service that cuts long polls short must not be asked in a loop.
-		pause(ctx, min(lookUpPause, time.Until(limit)))
+		wait.For(ctx, min(lookUpPause, time.Until(limit)))
 	}
 }
--- a/internal/proxy/fault_test.go
+++ b/internal/proxy/fault_test.go
@@ -18,6 +18,7 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/admission"
 	"github.com/goldcrestshed/goldcrestshed/internal/jsonc"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 // counting returns handlers that count the calls they ran.
@@ -242,7 +243,7 @@
 						w.Header().Set("Content-Length", "100")
 						_ = http.NewResponseController(w).Flush()
 						for range 10 {
-							pause(r.Context(), tt.pause)
+							wait.For(r.Context(), tt.pause)
 							_, _ = io.WriteString(w, "ten bytes.")
 							_ = http.NewResponseController(w).Flush()
 						}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/admission"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 // place is what a call holds while it runs on the backend server.
@@ -200,8 +201,8 @@
 // refuses new ones. All that was in flight becomes suspect.
 func (v *visit) checkCrash() {
 	g := v.guard
-	for _, wait := range crashProbes {
-		if !pause(v.ctx, wait) {
+	for _, delay := range crashProbes {
+		if !wait.For(v.ctx, delay) {
 			return
 		}
 		if !g.cfg.Link.refuses(v.ctx, g.cfg.Address) {
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -13,6 +13,7 @@
 
 	"github.com/goldcrestshed/goldcrestshed/internal/balance"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 const retryReasonExhausted = retry.ReasonExhausted
@@ -133,25 +134,13 @@
 		return choice, err
 	}
 	after := retryAfterOf(last.answer.Header)
-	if after == 0 || after > c.remaining()/2 || !pause(c.ctx, after) {
+	if after == 0 || after > c.remaining()/2 || !wait.For(c.ctx, after) {
 		return choice, err
 	}
 	request.Exclude = nil
 	return c.front.cfg.Balancer.Pick(time.Now(), request)
 }
 
-// pause waits and reports whether ctx still holds.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // noServer returns what to give when no server is left to be tried.
 func (c *call) noServer(last *tried, err error) *tried {
 	if last != nil {
--- a/internal/standin/local.go
+++ b/internal/standin/local.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 // LocalLog is a client of a Log in the same process, without HTTP. It keeps
@@ -38,10 +39,10 @@
 	f := c.log.faults
 	c.log.mu.Unlock()
 	if c.cut.Load() {
-		wait(ctx, localTimeout)
+		wait.For(ctx, localTimeout)
 		return errors.New("the log does not answer")
 	}
-	if !wait(ctx, 2*c.delay+time.Duration(f.SlowMs)*time.Millisecond) {
+	if !wait.For(ctx, 2*c.delay+time.Duration(f.SlowMs)*time.Millisecond) {
 		return ctx.Err()
 	}
 	if f.Down {
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 // Network is a stand-in of the network between nodes, in memory. Links have a
@@ -139,7 +141,7 @@
 		return nil, errors.Wrap(ctx.Err(), "dial")
 	}
 	// The handshake takes a round trip.
-	if !wait(ctx, n.delay(from, to)+n.delay(to, from)) {
+	if !wait.For(ctx, n.delay(from, to)+n.delay(to, from)) {
 		return nil, errors.Wrap(ctx.Err(), "dial")
 	}
 	if n.isCut(from, to) || n.isCut(to, from) {
@@ -165,20 +167,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (n *Network) pair(from, to string) (near, far *memConn) {
 	out, in := newMemPipe(), newMemPipe()
 	done := make(chan struct{})
