--- a/bench/calls.go
+++ b/bench/calls.go
@@ -74,7 +74,7 @@
 func measureCalls(ctx context.Context, seed int64, report func(Result)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w, err := newCallsWorld(ctx)
+	w, err := newCallsTestbed(ctx)
 	if err != nil {
 		return err
 	}
@@ -100,7 +100,7 @@
 }
 
 // runCalls sends the calls of both paths while faults come and go.
-func (w *callsWorld) runCalls(ours, direct *callsPath, seed uint64) (a, b callsCount) {
+func (w *callsTestbed) runCalls(ours, direct *callsPath, seed uint64) (a, b callsCount) {
 	faulty, calm := context.WithCancel(w.ctx)
 	var faults, callers sync.WaitGroup
 	faults.Go(func() { w.causeFaults(faulty, seed) })
@@ -291,7 +291,7 @@
 }
 
 // count compares what callers saw with what the backend servers ran.
-func (w *callsWorld) count(callers []*callsCaller) callsCount {
+func (w *callsTestbed) count(callers []*callsCaller) callsCount {
 	n := callsCount{outcomes: map[proxy.Outcome]int{}, reasons: map[string]int{}}
 	for _, c := range callers {
 		good := n.addSendings(c.sendings)
--- a/bench/calls_world.go
+++ b/bench/calls_testbed.go
@@ -41,9 +41,9 @@
 // callsPlaces are the regions and failure domains that nodes are spread over.
 var callsPlaces = [][2]string{{"gaucho", "poa-a"}, {"gaucho", "poa-b"}, {"litoral", "floripa-a"}, {"litoral", "floripa-b"}}
 
-// callsWorld is real nodes over loopback, with stand-ins of the log and of the
+// callsTestbed is real nodes over loopback, with stand-ins of the log and of the
 // backend servers.
-type callsWorld struct {
+type callsTestbed struct {
 	ctx      context.Context
 	log      *standin.Log
 	address  string // of the log
@@ -68,8 +68,8 @@
 	ended chan error
 }
 
-func newCallsWorld(ctx context.Context) (*callsWorld, error) {
-	w := &callsWorld{ctx: ctx, log: standin.NewLog(time.Hour, time.Now), runs: shard.NewMap[int](0)}
+func newCallsTestbed(ctx context.Context) (*callsTestbed, error) {
+	w := &callsTestbed{ctx: ctx, log: standin.NewLog(time.Hour, time.Now), runs: shard.NewMap[int](0)}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the log's stand-in")
@@ -94,7 +94,7 @@
 }
 
 // open publishes the profile and waits until every node serves it.
-func (w *callsWorld) open(ops *operator.Client) error {
+func (w *callsTestbed) open(ops *operator.Client) error {
 	ctx, cancel := context.WithTimeout(w.ctx, callsStart)
 	defer cancel()
 	docs, found := profile.ParseFile("bench", []byte(callsProfile))
@@ -121,7 +121,7 @@
 	return nil
 }
 
-func (w *callsWorld) serves(want profile.Position) bool {
+func (w *callsTestbed) serves(want profile.Position) bool {
 	for i := range w.members {
 		s := w.members[i].node.Load().Status()
 		if s.Position == nil || s.Position.Compare(want) < 0 || s.Members < callsNodes {
@@ -131,7 +131,7 @@
 	return true
 }
 
-func (w *callsWorld) startBackend(i int) error {
+func (w *callsTestbed) startBackend(i int) error {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return errors.Wrap(err, "listen for a backend server")
@@ -147,7 +147,7 @@
 }
 
 // startNode starts a node that has nothing, on new ports.
-func (w *callsWorld) startNode(i int) error {
+func (w *callsTestbed) startNode(i int) error {
 	var s settings.Settings
 	jsonc.Defaults(&s)
 	const anyPort = "127.0.0.1:0"
@@ -167,7 +167,7 @@
 	return nil
 }
 
-func (w *callsWorld) close() {
+func (w *callsTestbed) close() {
 	for i := range w.members {
 		n := w.members[i].node.Load()
 		n.stop()
@@ -190,7 +190,7 @@
 )
 
 // causeFaults causes drawn faults until ctx ends, then ends them all.
-func (w *callsWorld) causeFaults(ctx context.Context, seed uint64) {
+func (w *callsTestbed) causeFaults(ctx context.Context, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 2))
 	for wait.For(ctx, exponential(r, callsFaultGap)) {
 		kind, m, length, size := r.IntN(len(callsFaults)), r.IntN(callsNodes), exponential(r, callsFaultTime), r.Int64N(callsCutMost)
@@ -212,7 +212,7 @@
 }
 
 // cause causes a fault and returns at its end.
-func (w *callsWorld) cause(ctx context.Context, kind, i int, length time.Duration, size int64) {
+func (w *callsTestbed) cause(ctx context.Context, kind, i int, length time.Duration, size int64) {
 	m := &w.members[i]
 	during := func(f standin.BackendFaults) {
 		m.backend.SetFaults(f)
@@ -249,7 +249,7 @@
 }
 
 // crash closes the backend server's listener and connections for a time.
-func (w *callsWorld) crash(ctx context.Context, m *callsMember, length time.Duration) {
+func (w *callsTestbed) crash(ctx context.Context, m *callsMember, length time.Duration) {
 	m.backend.SetFaults(standin.BackendFaults{CrashOn: callsCrash, CrashForMs: int(length.Milliseconds())})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.address+callsCrash, nil)
 	if err != nil {
@@ -262,7 +262,7 @@
 	m.backend.SetFaults(standin.BackendFaults{})
 }
 
-func (w *callsWorld) faultCounts() string {
+func (w *callsTestbed) faultCounts() string {
 	var parts []string
 	for i, name := range callsFaults {
 		parts = append(parts, fmt.Sprintf("%d x %s", w.faults[i].Load(), name))
--- a/bench/once.go
+++ b/bench/once.go
@@ -40,11 +40,11 @@
 }
 
 func measureOnce(ctx context.Context, seed int64, report func(Result)) error {
-	ours, err := newOnceWorld(ctx, seed, true)
+	ours, err := newOnceTestbed(ctx, seed, true)
 	if err != nil {
 		return err
 	}
-	base, err := newOnceWorld(ctx, seed, false)
+	base, err := newOnceTestbed(ctx, seed, false)
 	if err != nil {
 		return err
 	}
@@ -63,7 +63,7 @@
 }
 
 // run sends all calls while faults come and go.
-func (w *onceWorld) run() onceCount {
+func (w *onceTestbed) run() onceCount {
 	defer w.stop()
 	faulty, calm := context.WithCancel(w.ctx)
 	var faults, callers sync.WaitGroup
@@ -91,7 +91,7 @@
 }
 
 // play sends the call and resends it while its outcome is unknown.
-func (c *onceCaller) play(w *onceWorld) {
+func (c *onceCaller) play(w *onceTestbed) {
 	id := uuid.Must(uuid.NewV7())
 	key, refusal := once.ParseKey(id.String(), once.KeyRule{}, time.Now())
 	if refusal != nil {
@@ -112,7 +112,7 @@
 }
 
 // sendTwice sends the call through two nodes at once.
-func (c *onceCaller) sendTwice(w *onceWorld) {
+func (c *onceCaller) sendTwice(w *onceTestbed) {
 	first, second := c.random.IntN(onceNodes), c.random.IntN(onceNodes)
 	out := make(chan once.Outcome, 2)
 	limit := c.limit()
@@ -122,7 +122,7 @@
 	c.outcomes = append(c.outcomes, <-out, <-out)
 }
 
-func (c *onceCaller) send(w *onceWorld, i int) once.Outcome {
+func (c *onceCaller) send(w *onceTestbed, i int) once.Outcome {
 	return w.node(i).serve(c.key, c.limit(), onceHops)
 }
 
@@ -131,7 +131,7 @@
 }
 
 // count compares what callers were told with what ran.
-func (w *onceWorld) count(results []onceCaller) onceCount {
+func (w *onceTestbed) count(results []onceCaller) onceCount {
 	res := onceCount{outcomes: map[once.Outcome]int{}}
 	for _, c := range results {
 		runs, _ := w.runs.Get(c.key.Text)
--- a/bench/once_node.go
+++ b/bench/once_node.go
@@ -14,13 +14,13 @@
 // onceNode is a guard with its coordinator, as far as keyed calls go.
 type onceNode struct {
 	*once.Coordinator
-	world *onceWorld
-	self  once.Holder
-	index int
-	ctx   context.Context
-	kill  context.CancelFunc
-	wake  atomic.Int64 // time in ns until which the node is paused
-	lose  atomic.Int64 // answers of batchers to lose
+	testbed *onceTestbed
+	self    once.Holder
+	index   int
+	ctx     context.Context
+	kill    context.CancelFunc
+	wake    atomic.Int64 // time in ns until which the node is paused
+	lose    atomic.Int64 // answers of batchers to lose
 }
 
 func (n *onceNode) pause(d time.Duration) { n.wake.Store(time.Now().Add(d).UnixNano()) }
@@ -36,7 +36,7 @@
 // reach returns the way to a batcher of a partition. Nodes with odd numbers
 // disagree with the others on which one it is.
 func (n *onceNode) reach(partition int) (once.Claimer, error) {
-	return onceWay{n, n.world.batchers[n.index%onceHosts][partition].Load()}, nil
+	return onceWay{n, n.testbed.batchers[n.index%onceHosts][partition].Load()}, nil
 }
 
 // onceWay is the way from a node to a batcher; answers get lost on it.
@@ -58,7 +58,7 @@
 // Settle implements once.Claimer.
 func (y onceWay) Settle(ctx context.Context, s once.Settlement) error {
 	if s.State == once.StateReleased {
-		y.node.world.released.Set(s.ClaimID, true)
+		y.node.testbed.released.Set(s.ClaimID, true)
 	}
 	return y.batcher.Settle(ctx, s)
 }
@@ -67,7 +67,7 @@
 func (n *onceNode) serve(k once.Key, limit time.Duration, hops int) once.Outcome {
 	ctx, cancel := context.WithTimeout(n.ctx, limit)
 	defer cancel()
-	if !n.world.claims {
+	if !n.testbed.claims {
 		return n.workUnclaimed(k)
 	}
 	d := n.Begin(ctx, k, time.Now())
@@ -76,7 +76,7 @@
 		return onceNoReply
 	}
 	if d.Kind == once.KindElsewhere {
-		if holder := n.world.holder(d.Holder); holder != nil && hops > 0 {
+		if holder := n.testbed.holder(d.Holder); holder != nil && hops > 0 {
 			return holder.serve(k, limit, hops-1)
 		}
 		d = d.WithoutHolder()
@@ -95,7 +95,7 @@
 }
 
 // holder returns the node of a holder, or nil when it does not answer.
-func (w *onceWorld) holder(h once.Holder) *onceNode {
+func (w *onceTestbed) holder(h once.Holder) *onceNode {
 	for i := range w.nodes {
 		n := w.node(i)
 		if n.self == h && n.ctx.Err() == nil && n.paused() <= 0 {
@@ -111,7 +111,7 @@
 		n.Release(r, once.ReasonReleased, time.Now())
 		return once.OutcomeNotRun
 	}
-	n.world.ran.Set(r.ClaimID, true)
+	n.testbed.ran.Set(r.ClaimID, true)
 	outcome := n.workUnclaimed(r.Key)
 	if outcome == once.OutcomeRan {
 		n.Finish(r, once.Answer{Outcome: outcome, Status: 200, Whole: true}, time.Now())
@@ -125,7 +125,7 @@
 	if n.ctx.Err() != nil {
 		return onceNoReply
 	}
-	n.world.runs.Update(k.Text, func(runs int, _ bool) (int, bool) { return runs + 1, true })
+	n.testbed.runs.Update(k.Text, func(runs int, _ bool) (int, bool) { return runs + 1, true })
 	select {
 	case <-time.After(time.Duration(rand.ExpFloat64() * float64(onceWork))):
 		return once.OutcomeRan
--- a/bench/once_world.go
+++ b/bench/once_testbed.go
@@ -20,8 +20,8 @@
 // onceHosts is the number of batchers of each partition that serve at once.
 const onceHosts = 2
 
-// onceWorld is the log's stand-in behind loopback, batchers and nodes.
-type onceWorld struct {
+// onceTestbed is the log's stand-in behind loopback, batchers and nodes.
+type onceTestbed struct {
 	ctx    context.Context
 	stop   context.CancelFunc
 	seed   uint64
@@ -43,8 +43,8 @@
 	stop context.CancelFunc
 }
 
-func newOnceWorld(ctx context.Context, seed int64, claims bool) (*onceWorld, error) {
-	w := &onceWorld{
+func newOnceTestbed(ctx context.Context, seed int64, claims bool) (*onceTestbed, error) {
+	w := &onceTestbed{
 		seed:     uint64(seed),
 		claims:   claims,
 		log:      standin.NewLog(time.Hour, time.Now),
@@ -74,7 +74,7 @@
 }
 
 // startBatcher replaces the batcher of a host.
-func (w *onceWorld) startBatcher(host, partition int) {
+func (w *onceTestbed) startBatcher(host, partition int) {
 	ctx, stop := context.WithCancel(w.ctx)
 	b := &onceBatcher{once.NewBatcher(once.BatcherConfig{Partition: partition}, w.client), stop}
 	go func() { _ = b.Run(ctx) }()
@@ -84,8 +84,8 @@
 }
 
 // startNode replaces a node, which ends what ran on it.
-func (w *onceWorld) startNode(i int) {
-	n := &onceNode{world: w, self: once.Holder{Node: fmt.Sprint("n", i), Incarnation: time.Now().UnixNano()}, index: i}
+func (w *onceTestbed) startNode(i int) {
+	n := &onceNode{testbed: w, self: once.Holder{Node: fmt.Sprint("n", i), Incarnation: time.Now().UnixNano()}, index: i}
 	n.ctx, n.kill = context.WithCancel(w.ctx)
 	n.Coordinator = once.NewCoordinator(once.CoordinatorConfig{Self: n.self, Reach: n.reach})
 	go func() { _ = n.Run(n.ctx) }()
@@ -94,7 +94,7 @@
 	}
 }
 
-func (w *onceWorld) node(i int) *onceNode { return w.nodes[i].Load() }
+func (w *onceTestbed) node(i int) *onceNode { return w.nodes[i].Load() }
 
 // onceFaults names the faults; their order is that of the cases below.
 var onceFaults = [...]string{"kill", "pause", "lose log answers", "lose batcher answers", "replace batcher", "slow log", "log down", "restart log"}
@@ -103,7 +103,7 @@
 const onceFaultGap = 40 * time.Millisecond
 
 // causeFaults causes drawn faults until ctx ends.
-func (w *onceWorld) causeFaults(ctx context.Context) {
+func (w *onceTestbed) causeFaults(ctx context.Context) {
 	r := rand.New(rand.NewPCG(w.seed, 2))
 	restart := time.Now().Add(onceCalls * onceGap / 2)
 	for ctx.Err() == nil {
@@ -118,7 +118,7 @@
 	w.log.SetFaults(standin.LogFaults{})
 }
 
-func (w *onceWorld) cause(kind int, r *rand.Rand) {
+func (w *onceTestbed) cause(kind int, r *rand.Rand) {
 	node := r.IntN(onceNodes)
 	switch kind {
 	case 0:
@@ -141,7 +141,7 @@
 }
 
 // faults tells how often each fault was caused.
-func (w *onceWorld) faults() string {
+func (w *onceTestbed) faults() string {
 	text := ""
 	for i, name := range onceFaults {
 		text += fmt.Sprintf("%d x %s, ", w.counts[i].Load(), name)
--- a/internal/proxy/chaos_test.go
+++ b/internal/proxy/chaos_test.go
@@ -51,7 +51,7 @@
 func wholeBody(id string) string { return strings.Repeat(id, 1+int(xxhash.Sum64String(id)%2000)) }
 
 // injectFaults breaks something every few milliseconds until stop is closed.
-func (w *world) injectFaults(rng *rand.Rand, l *ledger, stop <-chan struct{}) {
+func (w *testbed) injectFaults(rng *rand.Rand, l *ledger, stop <-chan struct{}) {
 	for {
 		id := string(rune('a' + rng.IntN(len(w.nodes))))
 		switch rng.IntN(6) {
@@ -88,7 +88,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				l := &ledger{runs: map[string]int{}}
-				w := newWorld(t, "abc", func(string) http.Handler { return http.HandlerFunc(l.serve) }, nil)
+				w := newTestbed(t, "abc", func(string) http.Handler { return http.HandlerFunc(l.serve) }, nil)
 				stop := make(chan struct{})
 				var faults, callers sync.WaitGroup
 				faults.Go(func() { w.injectFaults(rand.New(rand.NewPCG(seed, 1)), l, stop) })
@@ -111,7 +111,7 @@
 	}
 }
 
-func (w *world) checkCall(l *ledger, method, id string) {
+func (w *testbed) checkCall(l *ledger, method, id string) {
 	body := strings.Repeat("b", int(xxhash.Sum64String(id)%100000))
 	got := w.call(method, "/?id="+id, body, nil)
 	runs := l.add(id, 0)
--- a/internal/proxy/downstream_test.go
+++ b/internal/proxy/downstream_test.go
@@ -28,7 +28,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				var ran atomic.Int64
 				below := &Downstream{}
-				w := newWorld(t, "ab", counting(&ran, func(_ string, w http.ResponseWriter, _ *http.Request) {
+				w := newTestbed(t, "ab", counting(&ran, func(_ string, w http.ResponseWriter, _ *http.Request) {
 					time.Sleep(time.Millisecond)
 					if tc.fails {
 						below.noteFailure(time.Now())
@@ -51,7 +51,7 @@
 // of a failed call.
 func TestFrontNotesFailures(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, "a", nil, nil) // no backend server
+		w := newTestbed(t, "a", nil, nil) // no backend server
 		w.front.cfg.Downstream = &Downstream{}
 		begun := time.Now()
 		assert.Assert(t, !w.front.cfg.Downstream.failedSince(begun))
--- a/internal/proxy/fault_test.go
+++ b/internal/proxy/fault_test.go
@@ -47,30 +47,30 @@
 		name    string
 		ids     string
 		backend func(string, http.ResponseWriter, *http.Request)
-		fault   func(w *world) // before the call, after one call that warmed the connections
+		fault   func(w *testbed) // before the call, after one call that warmed the connections
 		method  string
 		status  int
 		outcome Outcome
 		ran     int64
 	}{
-		{"backend down", "a", answerID, func(w *world) { w.net.kill("backend-a") }, "POST", 503, OutcomeNotRun, 0},
+		{"backend down", "a", answerID, func(w *testbed) { w.net.kill("backend-a") }, "POST", 503, OutcomeNotRun, 0},
 		{"backend loses the call", "a", dropCall, nil, "POST", 502, OutcomeUnknown, 1},
 		{"backend hangs", "a", hang, nil, "POST", 504, OutcomeUnknown, 1},
-		{"backend silent on kept connections", "a", answerID, func(w *world) { w.net.silence("backend-a") }, "POST", 504, OutcomeUnknown, 0},
-		{"backend closed a kept connection", "a", answerID, func(w *world) { w.net.cut("backend-a") }, "POST", 200, OutcomeRan, 1},
-		{"node dead", "a", answerID, func(w *world) { w.net.kill("guard-a") }, "POST", 503, OutcomeNotRun, 0},
-		{"one node dead of two", "ab", answerID, func(w *world) { w.net.kill("guard-a") }, "POST", 200, OutcomeRan, 1},
-		{"node silent on kept connections", "a", answerID, func(w *world) { w.net.silence("guard-a") }, "POST", 504, OutcomeUnknown, 0},
-		{"node drains", "a", answerID, func(w *world) { w.nodes["a"].guard.Drain() }, "POST", 503, OutcomeNotRun, 0},
-		{"one node drains of two", "ab", answerID, func(w *world) { w.nodes["b"].guard.Drain() }, "POST", 200, OutcomeRan, 1},
-		{"every slot is taken", "a", answerID, func(w *world) { fill(w.nodes["a"].gate) }, "POST", 503, OutcomeNotRun, 0},
+		{"backend silent on kept connections", "a", answerID, func(w *testbed) { w.net.silence("backend-a") }, "POST", 504, OutcomeUnknown, 0},
+		{"backend closed a kept connection", "a", answerID, func(w *testbed) { w.net.cut("backend-a") }, "POST", 200, OutcomeRan, 1},
+		{"node dead", "a", answerID, func(w *testbed) { w.net.kill("guard-a") }, "POST", 503, OutcomeNotRun, 0},
+		{"one node dead of two", "ab", answerID, func(w *testbed) { w.net.kill("guard-a") }, "POST", 200, OutcomeRan, 1},
+		{"node silent on kept connections", "a", answerID, func(w *testbed) { w.net.silence("guard-a") }, "POST", 504, OutcomeUnknown, 0},
+		{"node drains", "a", answerID, func(w *testbed) { w.nodes["a"].guard.Drain() }, "POST", 503, OutcomeNotRun, 0},
+		{"one node drains of two", "ab", answerID, func(w *testbed) { w.nodes["b"].guard.Drain() }, "POST", 200, OutcomeRan, 1},
+		{"every slot is taken", "a", answerID, func(w *testbed) { fill(w.nodes["a"].gate) }, "POST", 503, OutcomeNotRun, 0},
 		{"every server loses the call", "ab", dropCall, nil, "GET", 502, OutcomeUnknown, 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var ran atomic.Int64
-				w := newWorld(t, tt.ids, counting(&ran, func(id string, w http.ResponseWriter, r *http.Request) {
+				w := newTestbed(t, tt.ids, counting(&ran, func(id string, w http.ResponseWriter, r *http.Request) {
 					if r.URL.Path == "/warm" {
 						answerID(id, w, r)
 						return
@@ -106,7 +106,7 @@
 func TestP5FirstSendingCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var ran, dials atomic.Int64
-		w := newWorld(t, "a", counting(&ran, func(id string, w http.ResponseWriter, r *http.Request) {
+		w := newTestbed(t, "a", counting(&ran, func(id string, w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/lose" {
 				dropCall(id, w, r)
 			}
@@ -134,22 +134,22 @@
 func TestIdempotentCallOutlivesFaults(t *testing.T) {
 	tests := map[string]struct {
 		ids    string
-		fault  func(w *world)
+		fault  func(w *testbed)
 		within time.Duration
 	}{
-		"backend silent on kept connections": {"a", func(w *world) { w.net.silence("backend-a") }, time.Second},
-		"node silent on kept connections":    {"a", func(w *world) { w.net.silence("guard-a") }, 1500 * time.Millisecond},
-		"backend closed kept connections":    {"a", func(w *world) { w.net.cut("backend-a") }, 10 * time.Millisecond},
-		"node closed kept connections":       {"a", func(w *world) { w.net.cut("guard-a") }, 10 * time.Millisecond},
-		"node dead":                          {"ab", func(w *world) { w.net.kill("guard-a") }, 10 * time.Millisecond},
-		"backend dead":                       {"ab", func(w *world) { w.net.kill("backend-b") }, 100 * time.Millisecond},
-		"node full":                          {"ab", func(w *world) { fill(w.nodes["b"].gate) }, 100 * time.Millisecond},
+		"backend silent on kept connections": {"a", func(w *testbed) { w.net.silence("backend-a") }, time.Second},
+		"node silent on kept connections":    {"a", func(w *testbed) { w.net.silence("guard-a") }, 1500 * time.Millisecond},
+		"backend closed kept connections":    {"a", func(w *testbed) { w.net.cut("backend-a") }, 10 * time.Millisecond},
+		"node closed kept connections":       {"a", func(w *testbed) { w.net.cut("guard-a") }, 10 * time.Millisecond},
+		"node dead":                          {"ab", func(w *testbed) { w.net.kill("guard-a") }, 10 * time.Millisecond},
+		"backend dead":                       {"ab", func(w *testbed) { w.net.kill("backend-b") }, 100 * time.Millisecond},
+		"node full":                          {"ab", func(w *testbed) { fill(w.nodes["b"].gate) }, 100 * time.Millisecond},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var ran atomic.Int64
-				w := newWorld(t, tt.ids, counting(&ran, answerID), nil)
+				w := newTestbed(t, tt.ids, counting(&ran, answerID), nil)
 				for range 10 {
 					assert.Equal(t, w.call("GET", "/", "", nil).status, 200)
 				}
@@ -172,7 +172,7 @@
 		t.Run(address, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var ran atomic.Int64
-				w := newWorld(t, "a", counting(&ran, func(id string, w http.ResponseWriter, r *http.Request) {
+				w := newTestbed(t, "a", counting(&ran, func(id string, w http.ResponseWriter, r *http.Request) {
 					time.Sleep(100 * time.Millisecond)
 				}), nil)
 				var warm sync.WaitGroup
@@ -194,7 +194,7 @@
 // after its time limit and is given to the next call.
 func TestP4LateAnswerReachesNoOtherCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, "a", func(string) http.Handler {
+		w := newTestbed(t, "a", func(string) http.Handler {
 			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == "/slow" {
 					time.Sleep(2100 * time.Millisecond) // does not hear of the cancellation
@@ -215,7 +215,7 @@
 // answer of one call to another.
 func TestP4AnswerOfAnotherCallIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, "a", nil, nil)
+		w := newTestbed(t, "a", nil, nil)
 		w.net.kill("guard-a")
 		w.serve("guard-a", &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(HeaderOutcome, string(OutcomeRan))
@@ -238,7 +238,7 @@
 	}{{10 * time.Second, true}, {20 * time.Second, false}} {
 		t.Run(tt.pause.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, "a", func(string) http.Handler {
+				w := newTestbed(t, "a", func(string) http.Handler {
 					return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 						w.Header().Set("Content-Length", "100")
 						_ = http.NewResponseController(w).Flush()
@@ -265,7 +265,7 @@
 		t.Run(fmt.Sprint(length), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var ran atomic.Int64
-				w := newWorld(t, "a", counting(&ran, answerID), nil)
+				w := newTestbed(t, "a", counting(&ran, answerID), nil)
 				out, in := io.Pipe()
 				go func() {
 					for range 1000 {
@@ -292,7 +292,7 @@
 func TestSlowServerIsHedged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var slow, cancelled atomic.Int64
-		w := newWorld(t, "ab", func(id string) http.Handler {
+		w := newTestbed(t, "ab", func(id string) http.Handler {
 			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == "/slow" && slow.Add(1) == 1 {
 					<-r.Context().Done()
@@ -320,7 +320,7 @@
 func TestRetryAfterIsHonoured(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var ran atomic.Int64
-		w := newWorld(t, "a", counting(&ran, func(string, http.ResponseWriter, *http.Request) {
+		w := newTestbed(t, "a", counting(&ran, func(string, http.ResponseWriter, *http.Request) {
 			time.Sleep(5 * time.Millisecond)
 		}), nil)
 		full := admission.NewGate(admission.Config{Slots: 1})
@@ -339,7 +339,7 @@
 func TestReturningServerStartsCold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var ran atomic.Int64
-		w := newWorld(t, "a", counting(&ran, answerID), nil)
+		w := newTestbed(t, "a", counting(&ran, answerID), nil)
 		w.nodes["a"].guard.cfg.Gate = admission.NewGate(admission.Config{Slots: 18, ColdStart: 10 * time.Second})
 		slots := func() int { return w.nodes["a"].guard.cfg.Gate.Report(time.Now()).Slots }
 		assert.Equal(t, w.call("GET", "/", "", nil).status, 200)
@@ -357,7 +357,7 @@
 func TestCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var cancelled atomic.Int64
-		w := newWorld(t, "a", func(string) http.Handler {
+		w := newTestbed(t, "a", func(string) http.Handler {
 			return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				<-r.Context().Done()
 				cancelled.Add(1)
@@ -376,7 +376,7 @@
 func TestWhatTravelsWithACall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		seen := make(chan http.Header, 1)
-		w := newWorld(t, "a", func(string) http.Handler {
+		w := newTestbed(t, "a", func(string) http.Handler {
 			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				seen <- r.Header.Clone()
 				w.Header().Set(HeaderOutcome, string(OutcomeNotRun))
@@ -417,7 +417,7 @@
 func TestP7LeavingServerTakesNoWorkP8AndCutsNone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var ran atomic.Int64
-		w := newWorld(t, "ab", counting(&ran, func(id string, w http.ResponseWriter, r *http.Request) {
+		w := newTestbed(t, "ab", counting(&ran, func(id string, w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/download" {
 				for range 60 {
 					_, _ = io.WriteString(w, id)
--- a/internal/proxy/fabric_test.go
+++ b/internal/proxy/network_test.go
@@ -16,16 +16,16 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
 
-// fabric is a network in memory for tests in virtual time. Its connections
+// testNetwork is a network in memory for tests in virtual time. Its connections
 // are pipes that can go silent.
-type fabric struct {
+type testNetwork struct {
 	mu        sync.Mutex
 	listeners map[string]*memListener
 	conns     map[string][]*memConn // by the address that was dialled
 }
 
-func newFabric() *fabric {
-	return &fabric{listeners: map[string]*memListener{}, conns: map[string][]*memConn{}}
+func newTestNetwork() *testNetwork {
+	return &testNetwork{listeners: map[string]*memListener{}, conns: map[string][]*memConn{}}
 }
 
 type memAddr string
@@ -34,11 +34,11 @@
 func (a memAddr) String() string { return string(a) }
 
 type memListener struct {
-	fabric  *fabric
-	address string
-	queue   chan net.Conn
-	once    sync.Once
-	closed  chan struct{}
+	testNetwork *testNetwork
+	address     string
+	queue       chan net.Conn
+	once        sync.Once
+	closed      chan struct{}
 }
 
 func (l *memListener) Accept() (net.Conn, error) {
@@ -54,25 +54,25 @@
 
 func (l *memListener) Close() error {
 	l.once.Do(func() {
-		l.fabric.mu.Lock()
-		defer l.fabric.mu.Unlock()
-		if l.fabric.listeners[l.address] == l {
-			delete(l.fabric.listeners, l.address)
+		l.testNetwork.mu.Lock()
+		defer l.testNetwork.mu.Unlock()
+		if l.testNetwork.listeners[l.address] == l {
+			delete(l.testNetwork.listeners, l.address)
 		}
 		close(l.closed)
 	})
 	return nil
 }
 
-func (f *fabric) listen(address string) (net.Listener, error) {
+func (f *testNetwork) listen(address string) (net.Listener, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	l := &memListener{fabric: f, address: address, queue: make(chan net.Conn, 100), closed: make(chan struct{})}
+	l := &memListener{testNetwork: f, address: address, queue: make(chan net.Conn, 100), closed: make(chan struct{})}
 	f.listeners[address] = l
 	return l, nil
 }
 
-func (f *fabric) dial(_ context.Context, _, address string) (net.Conn, error) {
+func (f *testNetwork) dial(_ context.Context, _, address string) (net.Conn, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	address = strings.TrimSuffix(address, port)
@@ -89,7 +89,7 @@
 
 // silence makes the present connections to an address carry nothing more; new
 // ones work.
-func (f *fabric) silence(address string) {
+func (f *testNetwork) silence(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range f.conns[address] {
@@ -100,7 +100,7 @@
 }
 
 // cut closes the present connections to an address.
-func (f *fabric) cut(address string) {
+func (f *testNetwork) cut(address string) {
 	f.mu.Lock()
 	conns := f.conns[address]
 	f.conns[address] = nil
@@ -111,7 +111,7 @@
 }
 
 // kill ends whatever listens on an address.
-func (f *fabric) kill(address string) {
+func (f *testNetwork) kill(address string) {
 	f.mu.Lock()
 	l := f.listeners[address]
 	f.mu.Unlock()
@@ -159,19 +159,19 @@
 // port ends the addresses that are dialled.
 const port = ":80"
 
-// world is a front, several guards and their backend servers on a fabric.
-type world struct {
+// testbed is a front, several guards and their backend servers on a testNetwork.
+type testbed struct {
 	t      *testing.T
-	net    *fabric
+	net    *testNetwork
 	nodes  map[string]*testNode
 	front  *Front
 	client *http.Client
 }
 
-// newWorld starts nodes a, b, ... whose backend servers run the handler. The
+// newTestbed starts nodes a, b, ... whose backend servers run the handler. The
 // addresses are front, guard-a and backend-a.
-func newWorld(t *testing.T, ids string, handler func(id string) http.Handler, edit func(*snapshot.Route)) *world {
-	w := &world{t: t, net: newFabric(), nodes: map[string]*testNode{}}
+func newTestbed(t *testing.T, ids string, handler func(id string) http.Handler, edit func(*snapshot.Route)) *testbed {
+	w := &testbed{t: t, net: newTestNetwork(), nodes: map[string]*testNode{}}
 	var guards []string
 	for _, id := range strings.Split(ids, "") {
 		if handler != nil {
@@ -190,13 +190,13 @@
 	return w
 }
 
-func (w *world) link(max int) *Link {
+func (w *testbed) link(max int) *Link {
 	l := NewLink(LinkConfig{Dial: w.net.dial, MaxConns: max})
 	w.t.Cleanup(l.Close)
 	return l
 }
 
-func (w *world) serve(address string, srv *http.Server) {
+func (w *testbed) serve(address string, srv *http.Server) {
 	ln, err := w.net.listen(address)
 	assert.NilError(w.t, err)
 	failOnPanic(w.t, srv)
@@ -204,7 +204,7 @@
 	w.t.Cleanup(func() { _ = srv.Close() })
 }
 
-func (w *world) node(id string) *testNode {
+func (w *testbed) node(id string) *testNode {
 	n := newNode(id, "backend-"+id+port, func(cfg *GuardConfig) {
 		cfg.Link = w.link(110)
 		cfg.Peers = w.link(0)
@@ -237,7 +237,7 @@
 	took    time.Duration
 }
 
-func (w *world) call(method, target, body string, edit func(*http.Request)) told {
+func (w *testbed) call(method, target, body string, edit func(*http.Request)) told {
 	w.t.Helper()
 	var reader io.Reader
 	if body != "" {
--- a/internal/proxy/once_test.go
+++ b/internal/proxy/once_test.go
@@ -19,19 +19,19 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/standin"
 )
 
-// claimWorld adds a log and a coordinator for each node to a world.
-type claimWorld struct {
-	*world
+// claimTestbed adds a log and a coordinator for each node to a testbed.
+type claimTestbed struct {
+	*testbed
 	log   *standin.Log
 	stop  context.CancelFunc
 	mu    sync.Mutex
 	alive map[string]context.CancelFunc // ends the claims of a node
 }
 
-func newClaimWorld(t *testing.T, ids string, handler func(string) http.Handler) *claimWorld {
+func newClaimTestbed(t *testing.T, ids string, handler func(string) http.Handler) *claimTestbed {
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	w := &claimWorld{world: newWorld(t, ids, handler, nil), stop: stop, alive: map[string]context.CancelFunc{}}
+	w := &claimTestbed{testbed: newTestbed(t, ids, handler, nil), stop: stop, alive: map[string]context.CancelFunc{}}
 	w.log = standin.NewLog(time.Hour, time.Now)
 	w.serve("log", &http.Server{Handler: w.log.Handler()})
 	tr := &http.Transport{DialContext: w.net.dial}
@@ -52,13 +52,13 @@
 	return w
 }
 
-func (w *claimWorld) guardOf(h once.Holder) (string, bool) {
+func (w *claimTestbed) guardOf(h once.Holder) (string, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return "guard-" + h.Node, w.alive[h.Node] != nil
 }
 
-func (w *claimWorld) killNode(id string) {
+func (w *claimTestbed) killNode(id string) {
 	w.mu.Lock()
 	w.alive[id]()
 	delete(w.alive, id)
@@ -88,7 +88,7 @@
 	return id.String()
 }
 
-func (w *claimWorld) book(key string) told {
+func (w *claimTestbed) book(key string) told {
 	return w.call("POST", "/book", "deposit", func(r *http.Request) { r.Header.Set(HeaderKeyCaller, key) })
 }
 
@@ -104,29 +104,29 @@
 	tests := []struct {
 		name    string
 		handler func(string, http.ResponseWriter, *http.Request)
-		between func(w *claimWorld, first told) // between the first sending and the repeats
-		first   string                          // status and outcome
+		between func(w *claimTestbed, first told) // between the first sending and the repeats
+		first   string                            // status and outcome
 		repeat  string
 		ran     int64
 	}{
 		{"repeats", slow, nil, "201 ran ", "201 ran ", 1},
 		{"answer lost", dropCall, nil, "502 unknown connection_cut", "502 unknown connection_lost", 1},
-		{"holder dead after its outcome", slow, func(w *claimWorld, first told) {
+		{"holder dead after its outcome", slow, func(w *claimTestbed, first told) {
 			time.Sleep(time.Second) // the outcome gets to the log
 			w.killNode(first.body[len(first.body)-1:])
 		}, "201 ran ", "409 ran answer_not_kept", 1},
-		{"holder dead before its outcome", slow, func(w *claimWorld, first told) {
+		{"holder dead before its outcome", slow, func(w *claimTestbed, first told) {
 			w.killNode(first.body[len(first.body)-1:])
 			synctest.Wait() // its last requests have met the log that is down
 			w.log.SetFaults(standin.LogFaults{})
 		}, "201 ran ", "502 unknown holder_gone", 1},
-		{"log down", slow, func(w *claimWorld, _ told) { w.log.SetFaults(standin.LogFaults{Down: true}) }, "201 ran ", "", 1},
+		{"log down", slow, func(w *claimTestbed, _ told) { w.log.SetFaults(standin.LogFaults{Down: true}) }, "201 ran ", "", 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var ran atomic.Int64
-				w := newClaimWorld(t, "abc", counting(&ran, tt.handler))
+				w := newClaimTestbed(t, "abc", counting(&ran, tt.handler))
 				key := newKey()
 				if tt.name == "holder dead before its outcome" {
 					go func() {
@@ -162,7 +162,7 @@
 func TestP6ConcurrentRepeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var ran atomic.Int64
-		w := newClaimWorld(t, "abc", counting(&ran, func(id string, w http.ResponseWriter, _ *http.Request) {
+		w := newClaimTestbed(t, "abc", counting(&ran, func(id string, w http.ResponseWriter, _ *http.Request) {
 			time.Sleep(500 * time.Millisecond)
 			_, _ = io.WriteString(w, "booked on "+id)
 		}))
@@ -199,7 +199,7 @@
 func TestP6ShedCallMayComeAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var ran atomic.Int64
-		w := newClaimWorld(t, "a", counting(&ran, answerID))
+		w := newClaimTestbed(t, "a", counting(&ran, answerID))
 		key := newKey()
 		w.net.kill("backend-a")
 		got := w.book(key)
--- a/internal/proxy/poison_test.go
+++ b/internal/proxy/poison_test.go
@@ -26,7 +26,7 @@
 		t.Run(method, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
-				w := newWorld(t, "abcd", nil, nil)
+				w := newTestbed(t, "abcd", nil, nil)
 				crashes := func() int64 { return 0 }
 				for id, n := range w.nodes {
 					b := standin.NewBackend(id, 18, time.Millisecond)
@@ -72,8 +72,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		fp := quarantine.NewFingerprint("GET", testHost, "/suspect", "", nil)
 		states := make(chan quarantine.State, 10)
-		var w *world
-		w = newWorld(t, "ab", func(id string) http.Handler {
+		var w *testbed
+		w = newTestbed(t, "ab", func(id string) http.Handler {
 			return http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 				states <- w.nodes[id].quarantine.Check(fp, time.Now()).State
 				time.Sleep(100 * time.Millisecond)
@@ -100,7 +100,7 @@
 func TestBalancerHearsOfLoadOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var ran atomic.Int64
-		w := newWorld(t, "a", counting(&ran, func(_ string, w http.ResponseWriter, r *http.Request) {
+		w := newTestbed(t, "a", counting(&ran, func(_ string, w http.ResponseWriter, r *http.Request) {
 			_ = http.NewResponseController(w).Flush()
 			time.Sleep(10 * time.Second)
 		}), nil)
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -78,17 +78,17 @@
 
 // Guards requests that were in flight beside the cause on two servers: only
 // the one that crashes a server without another suspect is quarantined.
-func TestCauseIsToldFromCompany(t *testing.T) {
+func TestCauseIsToldFromBystanders(t *testing.T) {
 	l := NewList(Config{})
-	const company, other Fingerprint = 8, 9
-	l.Crash("a", []Fingerprint{poison, company}, at(0))
-	l.Crash("b", []Fingerprint{company, poison, other, poison}, at(1))
+	const bystander, other Fingerprint = 8, 9
+	l.Crash("a", []Fingerprint{poison, bystander}, at(0))
+	l.Crash("b", []Fingerprint{bystander, poison, other, poison}, at(1))
 	assert.Equal(t, l.Check(poison, at(2)).State, Suspect)
-	assert.Equal(t, l.Check(company, at(2)).State, Suspect)
+	assert.Equal(t, l.Check(bystander, at(2)).State, Suspect)
 	l.Success(other, at(2))
 	l.Crash("c", []Fingerprint{other, poison}, at(3))
 	assert.Equal(t, l.Check(poison, at(4)).State, Quarantined)
-	assert.Equal(t, l.Check(company, at(4)).State, Suspect)
+	assert.Equal(t, l.Check(bystander, at(4)).State, Suspect)
 	assert.Equal(t, l.Check(other, at(4)).State, Suspect)
 }
 
--- a/internal/snapshot/build_test.go
+++ b/internal/snapshot/build_test.go
@@ -12,28 +12,28 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 )
 
-// world is a configuration and members that change independently.
-type world struct {
+// testbed is a configuration and members that change independently.
+type testbed struct {
 	t      assert.TestingT
 	fold   *profile.Fold
 	table  *membership.Table
 	offset int64
 }
 
-func newWorld(t assert.TestingT) *world {
-	w := &world{t: t, fold: profile.NewFold(0), table: membership.NewTable()}
+func newTestbed(t assert.TestingT) *testbed {
+	w := &testbed{t: t, fold: profile.NewFold(0), table: membership.NewTable()}
 	w.apply(profile.RecordGenesis, nil)
 	return w
 }
 
-func (w *world) apply(kind profile.RecordKind, edits []profile.Edit) profile.Verdict {
+func (w *testbed) apply(kind profile.RecordKind, edits []profile.Edit) profile.Verdict {
 	data, err := json.Marshal(profile.Record{ID: fmt.Sprint(w.offset), Kind: kind, Schema: profile.SchemaVersion, Edits: edits})
 	assert.NilError(w.t, err)
 	w.offset++
 	return w.fold.Apply(w.offset-1, data)
 }
 
-func (w *world) publish(kind, name, document string) profile.Edit {
+func (w *testbed) publish(kind, name, document string) profile.Edit {
 	e := profile.Edit{Op: profile.OpPublish, Key: profile.Key{Kind: kind, Name: name}, Document: json.RawMessage(document)}
 	if have, ok := w.fold.State().Live(e.Key); ok {
 		e.Base = &have.Version
@@ -41,7 +41,7 @@
 	return e
 }
 
-func (w *world) member(id int, service string, status membership.Status) {
+func (w *testbed) member(id int, service string, status membership.Status) {
 	name := fmt.Sprintf("n%03d", id)
 	have, _ := w.table.Get(name)
 	w.table.Merge([]membership.Member{{ID: name, Incarnation: have.Incarnation + 1, Service: service, GuardAddress: "127.0.0.1:1", Status: status}})
@@ -57,7 +57,7 @@
 }
 
 // step makes one random change of the configuration or the members.
-func (w *world) step(t *rapid.T) {
+func (w *testbed) step(t *rapid.T) {
 	names := rapid.SampledFrom([]string{"agenda", "acervo", "vitrine"})
 	switch rapid.IntRange(0, 3).Draw(t, "step") {
 	case 0:
@@ -79,7 +79,7 @@
 
 // wanted returns the routes in force by id, and whether a backend server
 // takes their calls, worked out from the documents alone.
-func (w *world) wanted() map[string]bool {
+func (w *testbed) wanted() map[string]bool {
 	s, out := w.fold.State(), map[string]bool{}
 	serving := map[string]bool{}
 	for _, m := range w.table.All() {
@@ -100,7 +100,7 @@
 	return out
 }
 
-func (w *world) chosen(s profile.State, service string) string {
+func (w *testbed) chosen(s profile.State, service string) string {
 	e, ok := s.Live(profile.Key{Kind: profile.KindSelection, Name: service})
 	if !ok {
 		return service
@@ -115,7 +115,7 @@
 // selections and members change at once.
 func TestGenerationsAreWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
+		w := newTestbed(t)
 		for number := uint64(1); number < 25; number++ {
 			w.step(t)
 			g, found := Build(number, w.fold.State(), w.table.All())
@@ -125,7 +125,7 @@
 	})
 }
 
-func (w *world) checkWhole(g *Generation) {
+func (w *testbed) checkWhole(g *Generation) {
 	got := map[string]bool{}
 	for _, r := range g.Routes {
 		got[r.ID] = true
