Drain under a log that is down or slow

Change: TestDrainCutsNoCall is a table: alone, log down, log slow. Conclusion: a departure that cannot be written costs callers nothing.

--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -29,9 +29,9 @@
 
 // startDrainable starts a node that serves vitrine with calls of one second,
 // and another one to call through.
-func startDrainable(t *testing.T) (front, guard *startedNode, slow string) {
+func startDrainable(t *testing.T) (front, guard *startedNode, slow, log string) {
 	t.Helper()
-	log := listeningOn(t, start(t, false, "goldcrestctl", "dev", "log", "--listen", "127.0.0.1:0"))
+	log = listeningOn(t, start(t, false, "goldcrestctl", "dev", "log", "--listen", "127.0.0.1:0"))
 	slow = listeningOn(t, start(t, false, "goldcrestctl", "dev", "backend", "--listen", "127.0.0.1:0", "--service", "vitrine", "--service-time", "1s"))
 	other := listeningOn(t, start(t, false, "goldcrestctl", "dev", "backend", "--listen", "127.0.0.1:0", "--service", "agenda"))
 	guard = startNode(t, "guard", "vitrine", log, slow)
@@ -39,21 +39,28 @@
 	out, code := ctl(t, "publish", "--log", log, writeProfile(t, "vitrine"))
 	assert.Equal(t, code, 0, out)
 	awaitAnswer(t, []*startedNode{front}, http.StatusOK, "vitrine")
-	return front, guard, slow
+	return front, guard, slow, log
 }
 
 // TestDrainCutsNoCall guards against a graceful end that cuts a call in
-// flight or lets new work in (promises P7 and P8).
+// flight or lets new work in (promises P7 and P8), also when the departure
+// cannot be written to the log.
 func TestDrainCutsNoCall(t *testing.T) {
-	front, guard, slow := startDrainable(t)
-	type result struct {
-		status int
-		server string
+	for name, fault := range map[string]standin.LogFaults{"alone": {}, "log down": {Down: true}, "log slow": {SlowMs: 3000}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			drainUnder(t, fault)
+		})
 	}
-	answered := make(chan result, 1)
+}
+
+func drainUnder(t *testing.T, fault standin.LogFaults) {
+	front, guard, slow, log := startDrainable(t)
+	setLogFaults(t, log, fault)
+	answered := make(chan int, 1)
 	go func() {
-		status, a, _ := call(t, "POST", front.Calls, "in flight")
-		answered <- result{status, a.Server}
+		status, _, _ := call(t, "POST", front.Calls, "in flight")
+		answered <- status
 	}()
 	awaitInFlight(t, slow)
 	assert.NilError(t, guard.cmd.Process.Signal(syscall.SIGTERM))
@@ -62,8 +69,7 @@
 	status, _, header := call(t, "GET", front.Calls, "")
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Equal(t, header.Get("Goldcrest-Outcome"), "not-run")
-	got := <-answered
-	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, <-answered, http.StatusOK)
 	assert.Equal(t, guard.exitCode(t), 0)
 }
 
@@ -86,7 +92,7 @@
 // TestSecondSignalEndsAtOnce guards against a drain that an operator cannot
 // cut short.
 func TestSecondSignalEndsAtOnce(t *testing.T) {
-	_, guard, _ := startDrainable(t)
+	_, guard, _, _ := startDrainable(t)
 	assert.NilError(t, guard.cmd.Process.Signal(syscall.SIGTERM))
 	guard.await(t, "drain_started")
 	begun := time.Now()
--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -146,15 +146,18 @@
 }
 
 // faults sets the faults of the log.
-func (s *system) faults(f standin.LogFaults) {
+func (s *system) faults(f standin.LogFaults) { setLogFaults(s.t, s.log, f) }
+
+func setLogFaults(t *testing.T, log string, f standin.LogFaults) {
+	t.Helper()
 	body, err := json.Marshal(f)
-	assert.NilError(s.t, err)
-	req, err := http.NewRequest(http.MethodPut, "http://"+s.log+"/v1/faults", bytes.NewReader(body))
-	assert.NilError(s.t, err)
+	assert.NilError(t, err)
+	req, err := http.NewRequest(http.MethodPut, "http://"+log+"/v1/faults", bytes.NewReader(body))
+	assert.NilError(t, err)
 	resp, err := http.DefaultClient.Do(req)
-	assert.NilError(s.t, err)
+	assert.NilError(t, err)
 	defer resp.Body.Close()
-	assert.Assert(s.t, resp.StatusCode < 300, resp.Status)
+	assert.Assert(t, resp.StatusCode < 300, resp.Status)
 }
 
 // awaitMembers waits until every node sends new calls to so many nodes.
