Refuse addresses that a node cannot announce

Cause: a node that listens on 0.0.0.0 announced that address for its guard and inner protocol. Change: a finding for unspecified addresses of listen.guard and listen.peer. Conclusion: the settings tests and 8 s of fuzzing pass.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -50,15 +50,14 @@
 	c.nodes = proxy.NewLink(proxy.LinkConfig{})
 	downstream := &proxy.Downstream{}
 	n.front = proxy.NewFront(proxy.FrontConfig{
-		Downstream: downstream,
-		Holder:     n.holder, Link: c.nodes, Balancer: balance.NewBalancer(c.stats, locality(self), rand.Uint64), Stats: c.stats,
+		Holder: n.holder, Link: c.nodes, Balancer: balance.NewBalancer(c.stats, locality(self), rand.Uint64), Stats: c.stats,
 		Budgets: c.budgets, Latencies: c.latencies, Quarantine: c.quarantine, News: c.suspects.tell,
+		Downstream: downstream,
 	})
 	n.guard = proxy.NewGuard(proxy.GuardConfig{
-		Downstream: downstream,
-		Self:       self.ID, Address: n.settings.BackendServer.Address, Link: c.backend, Peers: c.nodes,
+		Self: self.ID, Address: n.settings.BackendServer.Address, Link: c.backend, Peers: c.nodes,
 		Gate: c.gate, Once: c.once, Quarantine: c.quarantine, InFlight: quarantine.NewInFlight(), GuardOf: n.guardOf,
-		News: c.suspects.tell,
+		News: c.suspects.tell, Downstream: downstream,
 	})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -108,6 +108,8 @@
 	check("listen", "guard", s.Listen.Guard)
 	check("listen", "peer", s.Listen.Peer)
 	check("listen", "admin", s.Listen.Admin)
+	found = append(found, checkReachable(root, "guard", s.Listen.Guard)...)
+	found = append(found, checkReachable(root, "peer", s.Listen.Peer)...)
 	check("backendServer", "address", s.BackendServer.Address)
 	check("log", "address", s.Log.Address)
 	if peers, ok := root.Field("peers"); ok {
@@ -120,6 +122,18 @@
 	return found
 }
 
+// checkReachable wants an address that other nodes can use, since the node
+// announces the one that it listens on.
+func checkReachable(root jsonc.Value, field, address string) finding.List {
+	host, _, err := net.SplitHostPort(address)
+	if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsUnspecified() {
+		return nil
+	}
+	listen, _ := root.Field("listen")
+	v, _ := listen.Field(field)
+	return finding.List{v.Finding("other nodes cannot reach this address", "the instance's own ip:port")}
+}
+
 // checkAddress wants an IP number, since instances have no name service.
 func checkAddress(v jsonc.Value, address string) finding.List {
 	host, port, err := net.SplitHostPort(address)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -36,6 +37,19 @@
 	assert.Equal(t, s.Listen.Admin, "127.0.0.1:0", "the admin address binds to loopback by default")
 }
 
+// TestAnnouncedAddressesAreReachable guards against a node that announces an
+// address on which no other node finds it.
+func TestAnnouncedAddressesAreReachable(t *testing.T) {
+	for _, field := range []string{"guard", "peer"} {
+		for _, address := range []string{"0.0.0.0:0", "[::]:0"} {
+			text := strings.Replace(small, `"`+field+`": "10.0.0.7:0"`, `"`+field+`": "`+address+`"`, 1)
+			_, found := Parse("small.json", []byte(text))
+			assert.Equal(t, len(found), 1, "%s %s: %v", field, address, found)
+			assert.Equal(t, found[0].Path, "listen."+field)
+		}
+	}
+}
+
 // TestSyntaxErrorHasPlace guards against a syntax error without line and column.
 func TestSyntaxErrorHasPlace(t *testing.T) {
 	_, found := Parse("cut.json", []byte("{\n  \"node\": {,}\n}"))
