--- a/internal/platformlog/writer.go
+++ b/internal/platformlog/writer.go
@@ -47,7 +47,7 @@
 		if err == nil || !a.again(err) {
 			return offset, err
 		}
-		if !wait.For(ctx, wait.FullJitter(attempt)) {
+		if !pause(ctx, attempt, a.deadline) {
 			return 0, err
 		}
 	}
