Open one era for one loss also when a neighbour is faster

A reader that looked at the lost log for the last time took the era to open from the state published then; a neighbour's state of the next era, arrived during that look, made it open era 3. Ruled out: two readers that write at once, whose checkpoints are of one era and join. Change: the reader opens the era after the state that it held when it noticed the loss, and none when it holds another.

--- a/internal/distribution/reader.go
+++ b/internal/distribution/reader.go
@@ -274,7 +274,7 @@
 		return err
 	}
 	r.opened = time.Now()
-	return r.openEra(ctx)
+	return r.openEra(ctx, p)
 }
 
 // follow adopts the log's state when it is newer than the own one.
@@ -291,10 +291,14 @@
 	return true, nil
 }
 
-// openEra writes the state into a log that was lost. Two readers may do so;
-// the checkpoints then join.
-func (r *reader) openEra(ctx context.Context) error {
-	p := r.core.published.Load()
+// openEra writes the state from before the loss into the log. Two readers may
+// do so; the checkpoints are of one era and join. A state that a neighbour has
+// brought meanwhile may already be of the next era and must not open another.
+func (r *reader) openEra(ctx context.Context, p *published) error {
+	if own, _ := r.Position(); own != p.position() {
+		r.verify = true
+		return nil
+	}
 	c := profile.CheckpointOf(p.Applied)
 	c.Era++
 	c.Through = profile.NoOffset
