--- a/cmd/goldcrestctl/publish.go
+++ b/cmd/goldcrestctl/publish.go
@@ -39,8 +39,17 @@
 	return err
 }
 
-// submit sends the edits as one change; without edits there is nothing to do.
-func submit(ctx context.Context, client *operator.Client, edits []profile.Edit) (result, error) {
+// change reads the newest state, lets plan choose the edits against it and
+// sends them as one change; without edits there is nothing to do.
+func change(ctx context.Context, client *operator.Client, plan func(profile.State) ([]profile.Edit, error)) (result, error) {
+	before, err := client.State(ctx)
+	if err != nil {
+		return nil, err
+	}
+	edits, err := plan(before)
+	if err != nil {
+		return nil, err
+	}
 	r := changeResult{Changes: []changeRow{}}
 	if len(edits) == 0 {
 		return r, nil
@@ -100,16 +109,13 @@
 			if prune && !set.folders {
 				return nil, usageError(errors.New("--prune needs folders, since a file does not hold the whole set"))
 			}
-			client := c.client(&f)
-			s, err := client.State(cmd.Context())
-			if err != nil {
-				return nil, err
-			}
-			edits := operator.PublishEdits(s, set.docs)
-			if prune {
-				edits = append(edits, operator.PruneEdits(s, set.docs)...)
-			}
-			return submit(cmd.Context(), client, edits)
+			return change(cmd.Context(), c.client(&f), func(s profile.State) ([]profile.Edit, error) {
+				edits := operator.PublishEdits(s, set.docs)
+				if prune {
+					edits = append(edits, operator.PruneEdits(s, set.docs)...)
+				}
+				return edits, nil
+			})
 		}),
 	}
 	f.add(cmd)
@@ -137,16 +143,9 @@
 			if err != nil {
 				return nil, usageError(err)
 			}
-			client := c.client(&f)
-			s, err := client.State(cmd.Context())
-			if err != nil {
-				return nil, err
-			}
-			edits, err := operator.ReviseEdits(s, set.docs, version)
-			if err != nil {
-				return nil, err
-			}
-			return submit(cmd.Context(), client, edits)
+			return change(cmd.Context(), c.client(&f), func(s profile.State) ([]profile.Edit, error) {
+				return operator.ReviseEdits(s, set.docs, version)
+			})
 		}),
 	}
 	f.add(cmd)
@@ -177,16 +176,9 @@
 			if err != nil {
 				return nil, usageError(err)
 			}
-			client := c.client(&f)
-			s, err := client.State(cmd.Context())
-			if err != nil {
-				return nil, err
-			}
-			edits, err := operator.RetireEdits(s, key, selections)
-			if err != nil {
-				return nil, err
-			}
-			return submit(cmd.Context(), client, edits)
+			return change(cmd.Context(), c.client(&f), func(s profile.State) ([]profile.Edit, error) {
+				return operator.RetireEdits(s, key, selections)
+			})
 		}),
 	}
 	f.add(cmd)
