--- a/cmd/goldcrestd/main.go
+++ b/cmd/goldcrestd/main.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +18,7 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/node"
 	"github.com/goldcrestshed/goldcrestshed/internal/settings"
 	"github.com/goldcrestshed/goldcrestshed/internal/telemetry"
+	"github.com/goldcrestshed/goldcrestshed/platform"
 )
 
 // Exit codes.
@@ -62,8 +65,13 @@
 	if err != nil {
 		return err
 	}
-	logger := telemetry.NewLogger(os.Stderr, s.Logging)
-	n, err := node.New(s, logger)
+	lines := telemetry.NewLineWriter(os.Stdout)
+	defer lines.Close()
+	level := &slog.LevelVar{}
+	level.Set(telemetry.Level(s.Logging))
+	logger := telemetry.NewLeveledLogger(lines, s.Logging, level)
+	slog.SetDefault(logger) // net/http reports through the standard logger
+	n, err := newNode(s, logger)
 	if err != nil {
 		return err
 	}
@@ -73,9 +81,25 @@
 	g.Add(func() error { return n.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return dumpOnSignal(ctx, n) }, func(error) { cancel() })
 	g.Add(func() error { return endOnSignal(ctx, n) }, func(error) { cancel() })
+	g.Add(func() error { return watchSettings(ctx, file, s, logger, level) }, func(error) { cancel() })
 	return g.Run()
 }
 
+// newNode returns a node on the platform that the settings name.
+func newNode(s settings.Settings, logger *slog.Logger) (*node.Node, error) {
+	if s.Platform.Store == "" {
+		return node.New(s, logger)
+	}
+	if limit := int64(s.Platform.MemoryLimitMB); limit > 0 {
+		debug.SetMemoryLimit(limit << 20 * softMemoryPercent / 100)
+	}
+	return node.NewOn(platform.New(s.Platform, logger), s, logger)
+}
+
+// softMemoryPercent of the memory limit is what the runtime keeps to; the
+// rest is left to stacks and bytes in sockets.
+const softMemoryPercent = 60
+
 // errStopped reports that a second signal ended the node before its work did.
 var errStopped = errors.New("stopped by a second signal")
 
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -80,6 +80,17 @@
 	g.cfg.LongShare = min(p.LongShare, 1)
 }
 
+// SetSlots changes how many calls the backend server runs at once. Running
+// calls keep their slots.
+func (g *Gate) SetSlots(slots int) {
+	if slots <= 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cfg.Slots = slots
+}
+
 // Started notes that the backend server started or restarted, which begins
 // the cold start: its slots open over Config.ColdStart.
 func (g *Gate) Started(now time.Time) {
--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -36,13 +36,21 @@
 
 // Config holds what an Agent works with.
 type Config struct {
-	Self   membership.Member
-	Log    platformlog.Log
-	Peers  Peers
-	Seeds  []string // addresses to try when the log does not answer
-	Table  *membership.Table
-	Holder *snapshot.Holder
-	Logger *slog.Logger
+	Self membership.Member
+	Log  platformlog.Log
+	// Source takes the place of the log's config stream; nil folds the log.
+	Source Source
+	// Directory is where nodes find each other; nil takes the log's members
+	// stream.
+	Directory Directory
+	// HeardSelf is told entries about the own node that come from others; nil
+	// for nobody.
+	HeardSelf func(membership.Member)
+	Peers     Peers
+	Seeds     []string // addresses to try when the log does not answer
+	Table     *membership.Table
+	Holder    *snapshot.Holder
+	Logger    *slog.Logger
 }
 
 // Agent keeps one node's configuration and members up to date. Each loop has
@@ -93,6 +101,9 @@
 		found:     make(chan struct{}),
 		readyDone: make(chan struct{}), unanchored: make(chan struct{}, 1),
 	}
+	if a.Directory == nil {
+		a.Directory = &logDirectory{log: cfg.Log, logger: cfg.Logger}
+	}
 	a.base, a.stop = context.WithCancel(context.Background())
 	a.Table.Merge([]membership.Member{cfg.Self})
 	a.renewTopology()
@@ -131,15 +142,23 @@
 	defer a.stop()
 	defer cancel()
 	var g run.Group
-	for _, loop := range []func(context.Context) error{
-		a.core.run, a.start, a.readConfig, a.readMembers, a.announceSelf, a.keepMembers, a.gossip,
-		a.announcePositions, a.pullChanges, a.writeCheckpoints, a.build,
-	} {
+	for _, loop := range a.loops() {
 		g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 	}
 	return g.Run()
 }
 
+func (a *Agent) loops() []func(context.Context) error {
+	loops := []func(context.Context) error{
+		a.core.run, a.start, a.readMembers, a.announceSelf, a.keepMembers, a.gossip,
+		a.announcePositions, a.pullChanges, a.build,
+	}
+	if a.Source != nil {
+		return append(loops, a.followSource)
+	}
+	return append(loops, a.readConfig, a.writeCheckpoints)
+}
+
 // self returns the own entry as it stands.
 func (a *Agent) self() membership.Member {
 	if m, ok := a.Table.Get(a.Self.ID); ok {
--- a/internal/distribution/core.go
+++ b/internal/distribution/core.go
@@ -29,6 +29,7 @@
 	TipID          string        // id of the last record folded, "" when unreadable
 	CheckpointTime time.Time     // of the newest checkpoint folded
 	Anchors        int64         // highest first retained offset at which that checkpoint holds the state
+	Whole          bool          // the source keeps whole configurations
 	NewSchema      bool          // the next record needs a newer build
 	Ring           []record      // records after RingFrom, in order
 	RingFrom       int64
@@ -120,9 +121,20 @@
 	}
 	c.fold = profile.NewFoldFrom(s)
 	next := &published{Folded: s, Applied: s, TipID: full.TipID, CheckpointTime: full.CheckpointTime, Anchors: full.Anchors, RingFrom: s.Position.Offset}
+	older := profile.State{}
 	if have != nil {
+		older = have.Applied
+	}
+	if err := s.Resolve(older); err != nil && full.Checkpoint.Whole {
+		// Refused whole. A state of the log was checked by the fold that made
+		// it, and the build of a generation checks it again.
+		c.logger.Error("state_refused", "position", s.Position.String(), "error", err)
+		return nil
+	}
+	if have != nil && !full.Checkpoint.Whole {
 		next.Applied = profile.Join(s, have.Applied)
 	}
+	next.Whole = full.Checkpoint.Whole
 	return next
 }
 
@@ -205,5 +217,7 @@
 }
 
 func fullOf(p *published) peer.FullState {
-	return peer.FullState{Checkpoint: profile.CheckpointOf(p.Folded), TipID: p.TipID, CheckpointTime: p.CheckpointTime, Anchors: p.Anchors}
+	c := profile.CheckpointOf(p.Folded)
+	c.Whole = p.Whole
+	return peer.FullState{Checkpoint: c, TipID: p.TipID, CheckpointTime: p.CheckpointTime, Anchors: p.Anchors}
 }
--- /dev/null
+++ b/internal/distribution/directory.go
@@ -0,0 +1,106 @@
+package distribution
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/membership"
+	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+)
+
+// Directory is where nodes find each other. What they say often goes between
+// themselves.
+type Directory interface {
+	// Announce adds an entry. Announcing it twice is harmless, so an unknown
+	// outcome counts as a failure.
+	Announce(ctx context.Context, m membership.Member) error
+	// Entries returns the announcements after a cursor and the cursor for the
+	// next call. The zero cursor starts with the newest announcements. When
+	// there are none it waits up to wait.
+	Entries(ctx context.Context, cursor int64, wait time.Duration) ([]membership.Member, int64, error)
+}
+
+// tailRecords is how many announcements a starting node reads. A few live
+// peers among them are enough, since they hand out the whole table.
+const tailRecords = 64
+
+// logDirectory is the members stream of the platform's log. Its cursor is the
+// offset to read next.
+type logDirectory struct {
+	log    platformlog.Log
+	logger *slog.Logger
+}
+
+// Announce implements Directory.
+func (d *logDirectory) Announce(ctx context.Context, m membership.Member) error {
+	data, err := json.Marshal(m)
+	if err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	_, err = d.log.Append(ctx, platformlog.StreamMembers, data)
+	return errors.Wrap(err, "announce")
+}
+
+// Entries implements Directory.
+func (d *logDirectory) Entries(ctx context.Context, cursor int64, wait time.Duration) ([]membership.Member, int64, error) {
+	if cursor == 0 {
+		return d.tail(ctx, wait)
+	}
+	b, err := d.log.Read(ctx, platformlog.StreamMembers, cursor, readBatch, wait)
+	var outside *platformlog.RangeError
+	if errors.As(err, &outside) {
+		return d.tail(ctx, wait)
+	}
+	if err != nil {
+		return nil, cursor, errors.Wrap(err, "read announcements")
+	}
+	members, next := d.decode(cursor, b)
+	return members, next, nil
+}
+
+// tail reads the newest announcements.
+func (d *logDirectory) tail(ctx context.Context, wait time.Duration) ([]membership.Member, int64, error) {
+	first, next, err := streamEnds(ctx, d.log, platformlog.StreamMembers)
+	if err != nil {
+		return nil, 0, err
+	}
+	if next == first {
+		_, err = d.log.Read(ctx, platformlog.StreamMembers, next, 1, wait)
+		return nil, 0, errors.Wrap(err, "read announcements")
+	}
+	from := max(first, next-tailRecords)
+	b, err := d.log.Read(ctx, platformlog.StreamMembers, from, tailRecords, 0)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "read announcements")
+	}
+	members, after := d.decode(from, b)
+	return members, after, nil
+}
+
+func (d *logDirectory) decode(from int64, b platformlog.Batch) ([]membership.Member, int64) {
+	var members []membership.Member
+	for _, e := range b.Entries {
+		from = e.Offset + 1
+		var m membership.Member
+		if err := json.Unmarshal(e.Data, &m); err != nil || m.ID == "" {
+			d.logger.Warn("announcement_unreadable", "offset", e.Offset)
+			continue
+		}
+		members = append(members, m)
+	}
+	return members, from
+}
+
+// streamEnds returns the first and the next offset of a stream.
+func streamEnds(ctx context.Context, log platformlog.Log, stream string) (first, next int64, err error) {
+	b, err := log.Read(ctx, stream, 0, 1, 0)
+	var outside *platformlog.RangeError
+	if errors.As(err, &outside) {
+		return outside.First, outside.Next, nil
+	}
+	return b.First, b.Next, errors.Wrap(err, "find the end of the log")
+}
--- a/internal/distribution/gossip.go
+++ b/internal/distribution/gossip.go
@@ -71,6 +71,9 @@
 
 // refute answers an entry about the own node that is newer than its own.
 func (a *Agent) refute(heard membership.Member) {
+	if a.HeardSelf != nil {
+		a.HeardSelf(heard)
+	}
 	refuted := false
 	self, _ := a.Table.Revise(a.Self.ID, func(have membership.Member) membership.Member {
 		have, refuted = membership.Refute(have, heard)
@@ -102,16 +105,14 @@
 }
 
 // SetStatus announces a new status of the own node: to the neighbours at once
-// and on the log.
+// and in the directory.
 func (a *Agent) SetStatus(ctx context.Context, status membership.Status) error {
-	self, _ := a.Table.Revise(a.Self.ID, func(m membership.Member) membership.Member {
+	self := a.Revise(func(m membership.Member) membership.Member {
 		m.Status = status
-		m.Sequence++
 		return m
 	})
-	a.sendSelf(self)
 	a.sendBatch(ctx, peer.MemberEntries{From: a.Self.ID, Entries: []membership.Member{self}}, nil)
-	return a.appendEntry(ctx, self)
+	return a.Directory.Announce(ctx, self)
 }
 
 // gossip sends the queued changes in batches within the byte budget.
--- a/internal/distribution/membershiploop.go
+++ b/internal/distribution/membershiploop.go
@@ -73,7 +73,7 @@
 
 func (a *Agent) beat(ctx context.Context) {
 	position, _ := a.Position()
-	h := peer.Heartbeat{ID: a.Self.ID, Incarnation: a.Self.Incarnation, Position: position, Digest: a.digest.Load()}
+	h := peer.Heartbeat{ID: a.Self.ID, Incarnation: a.self().Incarnation, Position: position, Digest: a.digest.Load()}
 	t := a.topology.Load()
 	for _, group := range [][]membership.Member{t.Neighbours, t.Bridges} {
 		for _, m := range group {
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -43,9 +43,7 @@
 		return nil
 	}
 	for attempt := 1; !a.startOnce(ctx); attempt++ {
-		if !wait.For(ctx, wait.FullJitter(attempt)) {
-			return nil
-		}
+		wait.Until(ctx, a.core.advanced.next(), wait.FullJitter(attempt))
 	}
 	if ctx.Err() != nil {
 		return nil
@@ -90,17 +88,11 @@
 
 // readPeers merges the newest announcements.
 func (a *Agent) readPeers(ctx context.Context) error {
-	first, next, err := a.streamEnds(ctx, platformlog.StreamMembers)
-	if err != nil || next == first {
-		return err
-	}
-	from := max(first, next-tailRecords)
-	b, err := a.Log.Read(ctx, platformlog.StreamMembers, from, tailRecords, 0)
-	if err != nil {
-		return err
+	members, _, err := a.Directory.Entries(ctx, 0, 0)
+	if err == nil {
+		a.merge("", members)
 	}
-	a.mergeAnnouncements(from, b)
-	return nil
+	return err
 }
 
 func (a *Agent) askSeeds(ctx context.Context) {
@@ -157,15 +149,28 @@
 	t := target{offset: profile.NoOffset}
 	limited, cancel := context.WithTimeout(ctx, startLogLimit)
 	defer cancel()
-	_, next, err := a.streamEnds(limited, platformlog.StreamConfig)
-	if err == nil {
-		t.offset = next - 1
-	}
+	err := a.sourceTarget(limited, &t)
 	position, answered := a.askPositions(ctx)
 	t.position = position
 	return t, err == nil || answered
 }
 
+// sourceTarget sets the target to the newest configuration of the source.
+func (a *Agent) sourceTarget(ctx context.Context, t *target) error {
+	if a.Source != nil {
+		err := a.readSource(ctx, 0)
+		if p, ok := a.Position(); err == nil && ok {
+			t.offset = p.Offset
+		}
+		return err
+	}
+	_, next, err := streamEnds(ctx, a.Log, platformlog.StreamConfig)
+	if err == nil {
+		t.offset = next - 1
+	}
+	return err
+}
+
 // askPositions asks some peers at once and returns the highest position.
 func (a *Agent) askPositions(ctx context.Context) (highest profile.Position, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, startAsk)
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -37,6 +37,14 @@
 	GuardAddress  string `json:"guardAddress"` // HTTP from other nodes
 	Slots         int    `json:"slots"`
 	Status        Status `json:"status"`
+
+	// Set where backend servers report their state to their node.
+	ServerID     string `json:"serverId,omitempty"`     // id of the backend server's present start
+	ServerBorn   int64  `json:"serverBorn,omitempty"`   // its start, Unix time in ns
+	ServerReport int64  `json:"serverReport,omitempty"` // number of the newest report
+	// SourceLost says that the platform's store does not answer the member,
+	// so that it cannot read for its region.
+	SourceLost bool `json:"sourceLost,omitempty"`
 }
 
 // Newer reports whether m replaces o.
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -83,8 +83,9 @@
 		score uint64
 	}
 	var all []ranked
+	reaching := slices.ContainsFunc(members, func(m Member) bool { return m.Region == region && m.Routable() && !m.SourceLost })
 	for _, m := range members {
-		if m.Region == region && m.Routable() {
+		if m.Region == region && m.Routable() && (!m.SourceLost || !reaching) {
 			all = append(all, ranked{m.ID, xxhash.Sum64String("reader\x00" + region + "\x00" + m.ID)})
 		}
 	}
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -146,11 +146,13 @@
 // Refute returns the own entry with a raised sequence when others hold the
 // node for suspect, dead or left, and whether there was anything to refute.
 func Refute(self Member, heard Member) (Member, bool) {
-	if heard.ID != self.ID || heard.Incarnation > self.Incarnation {
+	if heard.ID != self.ID || !heard.Newer(self) {
 		return self, false
 	}
-	if !heard.Newer(self) {
-		return self, false
+	if heard.Incarnation > self.Incarnation {
+		// The clock of an earlier start was ahead; nobody would believe this one.
+		self.Incarnation = heard.Incarnation + 1
+		return self, true
 	}
 	self.Sequence = heard.Sequence + 1
 	return self, true
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -46,21 +46,32 @@
 	c.once = once.NewCoordinator(once.CoordinatorConfig{
 		Self: once.Holder{Node: self.ID, Incarnation: self.Incarnation}, Reach: c.claims.reach,
 	})
-	c.backend = proxy.NewLink(proxy.LinkConfig{MaxConns: n.settings.BackendServer.Connections})
+	c.backend = proxy.NewLink(proxy.LinkConfig{
+		MaxConns: n.settings.BackendServer.Connections, IdleTimeout: backendIdleTimeout, FreshAfter: backendFreshAfter,
+	})
 	c.nodes = proxy.NewLink(proxy.LinkConfig{})
 	downstream := &proxy.Downstream{}
 	n.front = proxy.NewFront(proxy.FrontConfig{
 		Holder: n.holder, Link: c.nodes, Balancer: balance.NewBalancer(c.stats, locality(self), rand.Uint64), Stats: c.stats,
 		Budgets: c.budgets, Latencies: c.latencies, Quarantine: c.quarantine, News: c.suspects.tell,
-		Downstream: downstream,
+		Downstream: downstream, Dialect: n.platform.Dialect, Service: n.settings.Node.Service, Logger: n.logger,
 	})
 	n.guard = proxy.NewGuard(proxy.GuardConfig{
-		Self: self.ID, Address: n.settings.BackendServer.Address, Link: c.backend, Peers: c.nodes,
+		Self: self.ID, Service: n.settings.Node.Service, Address: n.settings.BackendServer.Address, Link: c.backend, Peers: c.nodes,
 		Gate: c.gate, Once: c.once, Quarantine: c.quarantine, InFlight: quarantine.NewInFlight(), GuardOf: n.guardOf,
-		News: c.suspects.tell, Downstream: downstream,
+		News: c.suspects.tell, Downstream: downstream, Dialect: n.platform.Dialect, Reported: n.reported(),
 	})
 }
 
+const (
+	// backendIdleTimeout lies below the 10 s after which backend servers close
+	// idle connections.
+	backendIdleTimeout = 6 * time.Second
+	// backendFreshAfter keeps calls that must not be sent twice from
+	// connections that the backend server may be about to close.
+	backendFreshAfter = time.Second
+)
+
 // defaultQueue is the bound on calls that wait for a slot, the default of the
 // policy.
 const defaultQueue = 64
@@ -100,10 +111,14 @@
 	}
 	add(func() { tickGate(ctx, n.calls.gate) })
 	add(func() { every(ctx, pruneEvery, n.pruneCalls) })
-	add(func() { _ = n.calls.once.Run(ctx) })
+	if n.platform.Source == nil { // claims need streams of the product's own log
+		add(func() { _ = n.calls.once.Run(ctx) })
+		add(func() { n.calls.claims.run(ctx, n.agent.ReadyDone()) })
+	}
 	add(func() { n.sendSuspects(ctx) })
-	add(func() { n.probeBackend(ctx) })
-	add(func() { n.calls.claims.run(ctx, n.agent.ReadyDone()) })
+	if !n.reported() {
+		add(func() { n.probeBackend(ctx) })
+	}
 }
 
 // tickGate ticks the gate while calls wait. An idle node then spends nothing
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -97,10 +97,13 @@
 	}
 	n.guard.Drain()
 	n.logger.Info("drain_started", "limit", n.settings.Drain.Limit.D())
-	n.announceStatus(ctx, membership.StatusDraining)
-	for _, srv := range n.servers.list() {
-		srv.SetKeepAlivesEnabled(false) // answers say Connection: close, so callers move on
-	}
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		n.announceStatus(ctx, membership.StatusDraining)
+	}()
+	defer func() { <-announced }()
+	n.callsServer.SetKeepAlivesEnabled(false) // answers say Connection: close, so callers move on
 	notice := time.NewTimer(drainNotice)
 	defer notice.Stop()
 	select {
@@ -109,7 +112,9 @@
 		return nil
 	}
 	n.endWork(ctx)
-	n.flushCalls(ctx)
+	if n.platform.Source == nil {
+		n.flushCalls(ctx)
+	}
 	n.announceStatus(ctx, membership.StatusLeft)
 	n.logger.Info("drain_ended")
 	return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/serverstate"
 	"github.com/goldcrestshed/goldcrestshed/internal/settings"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 	"github.com/goldcrestshed/goldcrestshed/internal/telemetry"
@@ -24,38 +26,47 @@
 
 // Node is one running node.
 type Node struct {
-	settings  settings.Settings
-	logger    *slog.Logger
-	dump      *telemetry.Dumper
-	metrics   *telemetry.Metrics
-	holder    *snapshot.Holder
-	table     *membership.Table
-	agent     *distribution.Agent
-	peers     peers
-	front     *proxy.Front
-	guard     *proxy.Guard
-	calls     calls
-	backendUp atomic.Bool // as of the last probe
-	listeners listeners
-	servers   servers       // of calls and guard; the admin server outlives a drain
-	draining  chan struct{} // closed by the first Drain
-	drainOnce sync.Once
-	stopped   chan struct{} // closed when the node ends
-	stopOnce  sync.Once
+	settings    settings.Settings
+	platform    Platform
+	tracker     *serverstate.Tracker // of the backend server, where it reports
+	logger      *slog.Logger
+	dump        *telemetry.Dumper
+	metrics     *telemetry.Metrics
+	holder      *snapshot.Holder
+	table       *membership.Table
+	agent       *distribution.Agent
+	peers       peers
+	front       *proxy.Front
+	guard       *proxy.Guard
+	calls       calls
+	backendUp   atomic.Bool // as of the last probe
+	listeners   listeners
+	callsServer *http.Server
+	servers     servers       // of calls and guard; the admin server outlives a drain
+	draining    chan struct{} // closed by the first Drain
+	drainOnce   sync.Once
+	stopped     chan struct{} // closed when the node ends
+	stopOnce    sync.Once
 }
 
 type listeners struct {
 	calls, guard, peer, admin net.Listener
+	platform                  []net.Listener
 }
 
 // New binds the node's addresses and assembles its parts.
 func New(s settings.Settings, logger *slog.Logger) (*Node, error) {
-	l, err := listen(s.Listen)
+	return NewOn(Platform{}, s, logger)
+}
+
+// NewOn returns a node that runs on a platform.
+func NewOn(p Platform, s settings.Settings, logger *slog.Logger) (*Node, error) {
+	l, err := listen(s.Listen, s.Platform)
 	if err != nil {
 		return nil, err
 	}
 	n := &Node{
-		settings: s, logger: logger, listeners: l,
+		settings: s, platform: p, tracker: serverstate.NewTracker(s.Node.Service, s.BackendServer.Address), logger: logger, listeners: l,
 		dump: telemetry.NewDumper(), metrics: telemetry.NewMetrics(),
 		holder: snapshot.NewHolder(), table: membership.NewTable(),
 		draining: make(chan struct{}), stopped: make(chan struct{}),
@@ -69,8 +80,19 @@
 	return n, nil
 }
 
-func listen(s settings.Listen) (listeners, error) {
+func listen(s settings.Listen, p settings.Platform) (listeners, error) {
 	var l listeners
+	for _, address := range []string{p.Reports, p.Readiness} {
+		if address == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			l.close()
+			return listeners{}, errors.Wrap(err, "listen")
+		}
+		l.platform = append(l.platform, ln)
+	}
 	for _, b := range []struct {
 		address string
 		out     *net.Listener
@@ -86,7 +108,7 @@
 }
 
 func (l listeners) close() {
-	for _, ln := range []net.Listener{l.calls, l.guard, l.peer, l.admin} {
+	for _, ln := range append([]net.Listener{l.calls, l.guard, l.peer, l.admin}, l.platform...) {
 		if ln != nil {
 			_ = ln.Close()
 		}
@@ -94,14 +116,21 @@
 }
 
 func (n *Node) self() membership.Member {
+	service := n.settings.Node.Service
+	if n.reported() {
+		service = "" // known with the first report of the backend server
+	}
 	return membership.Member{
 		ID: n.settings.Node.ID, Incarnation: time.Now().UnixNano(),
-		Service: n.settings.Node.Service, Region: n.settings.Node.Region, FailureDomain: n.settings.Node.FailureDomain,
+		Service: service, Region: n.settings.Node.Region, FailureDomain: n.settings.Node.FailureDomain,
 		PeerAddress: n.listeners.peer.Addr().String(), GuardAddress: n.listeners.guard.Addr().String(),
 		Slots: n.settings.BackendServer.Slots, Status: membership.StatusAlive,
 	}
 }
 
+// reported says whether the backend server reports its state to the node.
+func (n *Node) reported() bool { return n.platform.Handler != nil }
+
 // CallsAddress returns the address for callers.
 func (n *Node) CallsAddress() string { return n.listeners.calls.Addr().String() }
 
@@ -122,8 +151,10 @@
 	n.addCalls(ctx, &g)
 	n.servePeers(ctx, &g)
 	g.Add(func() error { return n.runDrain(ctx) }, func(error) { cancel() })
-	n.servers.add(n.serve(&g, "calls", n.listeners.calls, proxy.Observe(n.front, n.recorder("front"))))
+	n.callsServer = n.serve(&g, "calls", n.listeners.calls, proxy.Observe(n.front, n.recorder("front")))
+	n.servers.add(n.callsServer)
 	n.servers.add(n.serve(&g, "guard", n.listeners.guard, proxy.Observe(n.guard, n.recorder("guard"))))
+	n.servePlatform(&g)
 	n.serve(&g, "admin", n.listeners.admin, n.adminHandler())
 	g.Add(func() error { <-ctx.Done(); return nil }, func(error) { cancel() })
 	n.logger.Info("node_started", "node", n.settings.Node.ID, "calls", n.CallsAddress(), "admin", n.AdminAddress())
--- a/internal/profile/document.go
+++ b/internal/profile/document.go
@@ -35,6 +35,17 @@
 	Timeout    jsonc.Duration `json:"timeout,omitempty" min:"0s" max:"1h" doc:"time limit until the first byte of the answer; 0s takes the policy's"`
 	Idempotent *bool          `json:"idempotent,omitempty" doc:"whether a call may run more than once; absent decides by method"`
 	Priority   string         `json:"priority,omitempty" default:"caller" oneof:"caller|background" doc:"background calls are shed before any caller's"`
+
+	Split            []Part         `json:"split,omitempty" doc:"services that share the calls by weight; empty sends all to service"`
+	MaxAttempts      int            `json:"maxAttempts,omitempty" min:"0" max:"10" doc:"most backend servers that one call is sent to; 0 takes the policy's retries"`
+	LatencyObjective jsonc.Duration `json:"latencyObjective,omitempty" min:"0s" max:"1h" doc:"time within which an answer is of full use; 0s sets none"`
+	Rank             int            `json:"rank,omitempty" min:"0" max:"100" doc:"order among callers' routes when a backend server is full; 0 goes first"`
+}
+
+// Part is one of several services that share the calls of a route.
+type Part struct {
+	Service string `json:"service" required:"true" doc:"service that runs this share of the calls"`
+	Weight  int    `json:"weight" required:"true" min:"0" max:"1000000" doc:"share of the calls, relative to the other parts"`
 }
 
 // Policy is the treatment of calls.
@@ -162,6 +173,7 @@
 		found = append(found, place(v, "name").Finding(fmt.Sprintf("route name %q is used twice", r.Name), "a unique name"))
 	}
 	names[r.Name] = true
+	found = append(found, checkSplit(v, r)...)
 	if !strings.HasPrefix(r.PathPrefix, "/") {
 		found = append(found, place(v, "pathPrefix").Finding("a path prefix starts with a slash", "such as /browse"))
 	}
@@ -176,6 +188,21 @@
 	return found
 }
 
+// checkSplit wants parts that some call can go to.
+func checkSplit(v jsonc.Value, r Route) finding.List {
+	if len(r.Split) == 0 {
+		return nil
+	}
+	total := 0
+	for _, p := range r.Split {
+		total += p.Weight
+	}
+	if total == 0 {
+		return finding.List{place(v, "split").Finding("no part of the split has a weight", "at least one weight above 0")}
+	}
+	return nil
+}
+
 func place(v jsonc.Value, field string) jsonc.Value {
 	if f, ok := v.Field(field); ok {
 		return f
--- a/internal/profile/record.go
+++ b/internal/profile/record.go
@@ -114,6 +114,9 @@
 	Entries   []Entry   `json:"entries"`
 	Recent    []string  `json:"recent,omitempty"` // ids of the latest changes, to recognise repeats
 	Refused   []Refusal `json:"refused,omitempty"`
+	// Whole marks the state of a source that keeps whole configurations: a
+	// document that it lacks is gone.
+	Whole bool `json:"whole,omitempty"`
 }
 
 // NoOffset stands before the first offset of a log.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -17,6 +17,10 @@
 // written.
 const progressTimeout = 15 * time.Second
 
+// lateAnswerLimit is how long after a call's deadline the body of an answer
+// may still arrive.
+const lateAnswerLimit = 300 * time.Millisecond
+
 // silentIdle is the idle time from which a connection may have gone silent
 // unnoticed.
 const silentIdle = time.Second
@@ -41,7 +45,11 @@
 	// may have gone silent; 0 stands for wait.
 	idleWait time.Duration
 	fresh    bool // on a new connection
-	early    func(code int, header textproto.MIMEHeader)
+	// maxIdle is how long a connection may have been idle that the call is
+	// sent on; 0 sets no bound. A server may close an idle connection while
+	// the call is on its way.
+	maxIdle time.Duration
+	early   func(code int, header textproto.MIMEHeader)
 }
 
 // answer is an answer whose body is still open. Reading resets the time limit
@@ -50,11 +58,16 @@
 	*http.Response
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
+	until  time.Time // end of the whole answer; zero sets none
 }
 
 // Read implements io.Reader.
 func (a *answer) Read(p []byte) (int, error) {
-	a.timer.Reset(progressTimeout)
+	limit := progressTimeout
+	if !a.until.IsZero() {
+		limit = min(limit, max(time.Until(a.until), 0))
+	}
+	a.timer.Reset(limit)
 	return a.Body.Read(p)
 }
 
@@ -103,6 +116,7 @@
 	link     *Link
 	timer    *time.Timer
 	idleWait time.Duration
+	maxIdle  time.Duration
 	conn     atomic.Pointer[trackedConn]
 	info     atomic.Pointer[httptrace.GotConnInfo]
 }
@@ -113,7 +127,8 @@
 		return
 	}
 	conn.begin()
-	if info.Reused && (!x.link.trusts(conn) || !conn.settled()) {
+	stale := x.maxIdle > 0 && info.IdleTime > x.maxIdle
+	if info.Reused && (stale || !x.link.trusts(conn) || !conn.settled()) {
 		conn.seal()
 	}
 	if x.idleWait > 0 && info.Reused && info.IdleTime >= silentIdle {
@@ -127,7 +142,7 @@
 func (l *Link) send(ctx context.Context, s sending) (*answer, *sendError) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(s.wait, func() { cancel(errFirstByte) })
-	x := &exchange{link: l, timer: timer, idleWait: s.idleWait}
+	x := &exchange{link: l, timer: timer, idleWait: s.idleWait, maxIdle: s.maxIdle}
 	out, err := s.request(httptrace.WithClientTrace(ctx, x.trace(s.early)))
 	if err != nil {
 		timer.Stop()
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -54,8 +54,9 @@
 	early      *earlyHints
 	header     http.Header // for the guard, but for what differs by sending
 	pass       *quarantine.Pass
-	exclude    []string // servers not to be tried
-	tries      int
+	exclude    []string    // servers not to be tried
+	tries      int         // attempts that may have reached a backend server
+	refusals   int         // attempts that the node beside a backend server refused
 	mayHaveRun atomic.Bool // a sending that is over got further than not-run
 }
 
@@ -80,8 +81,15 @@
 	for _, name := range []string{HeaderKey, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat, HeaderQuarantine} {
 		delete(h, name)
 	}
+	d := &c.front.cfg.Dialect
+	delete(h, d.Deadline)
+	delete(h, d.Target)
+	if d.Caller != "" {
+		h[d.Caller] = []string{c.front.cfg.Service}
+	}
 	h[HeaderHops] = []string{strconv.Itoa(hops)}
 	h[HeaderRoute] = []string{c.route.ID}
+	h[HeaderService] = []string{c.service.Name}
 	h[HeaderPriority] = []string{c.priority()}
 	if key, ok := h[HeaderKeyCaller]; ok {
 		delete(h, HeaderKeyCaller)
@@ -108,12 +116,12 @@
 func (c *call) run(rc *http.ResponseController) {
 	var err error
 	if c.w, err = c.body.prepare(c.w, rc, c.deadline); err != nil {
-		failureOf(&sendError{cause: err}, c.body).write(c.w)
+		c.fail(failureOf(&sendError{cause: err}, c.body))
 		return
 	}
 	c.early = &earlyHints{w: c.w}
 	if refusal := c.checkQuarantine(); refusal != nil {
-		refusal.write(c.w)
+		c.fail(refusal)
 		return
 	}
 	c.front.cfg.Budgets.Call(c.service.Name, c.policy.RetryBudget, c.started)
@@ -175,25 +183,36 @@
 // give answers the caller.
 func (c *call) give(t *tried) {
 	t = c.truthful(t)
+	t = c.unpromised(t)
 	c.finish(t, false)
 	if t.status() >= http.StatusInternalServerError || t.answer == nil {
 		c.front.cfg.Downstream.noteFailure(time.Now())
 	}
 	if t.answer == nil {
-		c.failureOf(t).write(c.w)
+		c.fail(c.failureOf(t))
 		return
 	}
 	defer t.answer.Close()
+	if c.front.cfg.Dialect.WholeAnswer {
+		t.answer.until = c.deadline.Add(lateAnswerLimit)
+	}
 	c.editAnswer(t)
 	n, err := relay(c.w, c.r, t.answer)
 	c.spendBytes(t, n)
 	if err != nil {
+		c.logEnd(nil, err)
 		abort(c.w, c.r)
 		return
 	}
 	c.clearSuspicion(t)
 }
 
+// fail gives the caller an answer of the system's own.
+func (c *call) fail(f *Failure) {
+	c.logEnd(f, nil)
+	f.write(c.w, &c.front.cfg.Dialect)
+}
+
 // truthful replaces a refusal by an unknown outcome when an earlier sending of
 // the call may have run.
 func (c *call) truthful(t *tried) *tried {
@@ -208,6 +227,17 @@
 	return &tried{failure: f, exhausted: t.exhausted}
 }
 
+// unpromised replaces an answer of a backend server that ran the call when
+// callers would take its status for a promise that the call was not run.
+func (c *call) unpromised(t *tried) *tried {
+	if t.outcome() != retry.Ran || !c.front.cfg.Dialect.promised(t.status()) {
+		return t
+	}
+	f := unknown(http.StatusBadGateway, t.reason(), "the backend server ran the call and answered with a status that denies it")
+	c.drop(t)
+	return &tried{failure: f, exhausted: t.exhausted}
+}
+
 // clearSuspicion tells others that a suspect was answered whole.
 func (c *call) clearSuspicion(t *tried) {
 	if c.pass == nil || !t.good() {
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -38,16 +39,24 @@
 type LinkConfig struct {
 	Dial     Dial // nil dials TCP
 	MaxConns int  // connections at once in all, idle ones included; 0 sets no bound
+	// FreshAfter is how long a connection may have been idle that a call goes
+	// out on that must not be sent twice; 0 sets no bound. The other side may
+	// close an idle connection while the call is on its way.
+	FreshAfter time.Duration
+	// IdleTimeout is how long an idle connection is kept; 0 takes the default.
+	IdleTimeout time.Duration
 }
 
 // Link sends calls to other processes. It keeps idle connections and can open
 // a new one on demand.
 type Link struct {
-	dial       Dial
-	slots      chan struct{} // one token per open connection; nil without a bound
-	pooled     *http.Transport
-	fresh      *http.Transport
-	distrusted *shard.Map[time.Time] // by address: older idle connections are not used
+	dial        Dial
+	slots       chan struct{} // one token per open connection; nil without a bound
+	idleTimeout time.Duration
+	freshAfter  time.Duration
+	pooled      *http.Transport
+	fresh       *http.Transport
+	distrusted  *shard.Map[time.Time] // by address: older idle connections are not used
 }
 
 // NewLink returns a Link.
@@ -61,6 +70,8 @@
 	if cfg.MaxConns > 0 {
 		l.slots = make(chan struct{}, cfg.MaxConns)
 	}
+	l.idleTimeout = cmp.Or(cfg.IdleTimeout, idleConnTimeout)
+	l.freshAfter = cfg.FreshAfter
 	l.pooled = l.transport(false)
 	l.pooled.MaxConnsPerHost = cfg.MaxConns
 	l.fresh = l.transport(true)
@@ -70,7 +81,7 @@
 func (l *Link) transport(fresh bool) *http.Transport {
 	return &http.Transport{
 		DialContext: l.open, DisableKeepAlives: fresh, DisableCompression: true,
-		MaxIdleConnsPerHost: maxIdlePerAddress, IdleConnTimeout: idleConnTimeout,
+		MaxIdleConnsPerHost: maxIdlePerAddress, IdleConnTimeout: l.idleTimeout,
 		ExpectContinueTimeout: time.Second, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
--- /dev/null
+++ b/internal/proxy/decisionlog.go
@@ -0,0 +1,72 @@
+package proxy
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/retry"
+)
+
+// refuse answers a call that the front does not send, and says why in the log.
+func (f *Front) refuse(w http.ResponseWriter, r *http.Request, refusal *Failure, route string) {
+	f.cfg.Logger.LogAttrs(r.Context(), slog.LevelInfo, "call_refused",
+		slog.String("call", f.callID(r)), slog.String("route", route), slog.String("host", r.Host), slog.String("path", r.URL.Path),
+		slog.Uint64("generation", f.cfg.Holder.Published()), slog.Int("status", refusal.Status),
+		slog.String("reason", refusal.Reason), slog.Int64("retry_after_ms", refusal.RetryAfter.Milliseconds()))
+	refusal.write(w, &f.cfg.Dialect)
+}
+
+// callID returns the id that the caller gave the call.
+func (f *Front) callID(r *http.Request) string {
+	if f.cfg.Dialect.CallID == "" {
+		return ""
+	}
+	return r.Header.Get(f.cfg.Dialect.CallID)
+}
+
+// logEnd writes the line for a call that ends without a whole answer of a
+// backend server. A plain success is only counted.
+func (c *call) logEnd(failure *Failure, cut error) {
+	log := c.front.cfg.Logger
+	attrs := append(c.logAttrs(), slog.Int("tries", c.tries), slog.Int("refusals", c.refusals),
+		slog.Int64("elapsed_ms", time.Since(c.started).Milliseconds()), slog.Int64("left_ms", c.remaining().Milliseconds()))
+	switch {
+	case cut != nil:
+		log.LogAttrs(c.ctx, slog.LevelWarn, "call_cut", append(attrs, slog.Any("error", cut))...)
+	case failure.Outcome == OutcomeNotRun:
+		log.LogAttrs(c.ctx, slog.LevelInfo, "call_refused", append(attrs, failureAttrs(failure)...)...)
+	default:
+		log.LogAttrs(c.ctx, slog.LevelWarn, "call_failed", append(attrs, failureAttrs(failure)...)...)
+	}
+}
+
+func failureAttrs(f *Failure) []slog.Attr {
+	return []slog.Attr{
+		slog.Int("status", f.Status), slog.String("reason", f.Reason), slog.String("message", f.Message),
+		slog.Int64("retry_after_ms", f.RetryAfter.Milliseconds()),
+	}
+}
+
+func (c *call) logAttrs() []slog.Attr {
+	return []slog.Attr{
+		slog.String("call", c.front.callID(c.r)), slog.String("route", c.route.ID), slog.String("service", c.service.Name),
+		slog.Uint64("generation", c.front.cfg.Holder.Published()),
+	}
+}
+
+// logAttempt writes the line for a sending that brought no good answer.
+func (c *call) logAttempt(t *tried, d retry.Decision) {
+	log := c.front.cfg.Logger
+	if t.good() || !log.Enabled(context.Background(), slog.LevelInfo) {
+		return
+	}
+	attrs := append(c.logAttrs(), slog.String("server", t.choice.Endpoint.ID), slog.String("outcome", string(t.outcome())),
+		slog.String("reason", t.reason()), slog.Int("status", t.status()), slog.Int64("elapsed_ms", t.elapsed.Milliseconds()),
+		slog.String("rule", d.Rule), slog.String("verdict", string(d.Verdict)))
+	if t.err != nil {
+		attrs = append(attrs, slog.Any("error", t.err.cause), slog.Bool("sent", t.err.sent), slog.Bool("reused", t.err.reused))
+	}
+	log.LogAttrs(c.ctx, slog.LevelInfo, "attempt_failed", attrs...)
+}
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -29,6 +29,8 @@
 		return http.StatusGatewayTimeout, ReasonDeadline, "no answer within the time limit"
 	case !err.sent:
 		return http.StatusServiceUnavailable, ReasonConnect, "the backend server could not be reached"
+	case errors.Is(err, errMismatch):
+		return http.StatusBadGateway, ReasonCut, "the backend server sent an answer to another call"
 	}
 	return http.StatusBadGateway, ReasonCut, "the connection ended before the answer"
 }
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,7 +25,10 @@
 	Budgets    *retry.Budgets
 	Latencies  *retry.Latencies
 	Quarantine *quarantine.List
-	Downstream *Downstream // told of failures; shared with the Guard; nil for none
+	Downstream *Downstream  // told of failures; shared with the Guard; nil for none
+	Dialect    Dialect      // headers of the callers
+	Service    string       // of the own instance, on which the calls begin
+	Logger     *slog.Logger // one line for each decision against a call; nil for none
 	// News takes quarantine entries that other nodes should hear of; nil drops
 	// them.
 	News func([]quarantine.Entry)
@@ -47,6 +52,9 @@
 	if cfg.Retention == nil {
 		cfg.Retention = func() time.Duration { return once.DefaultRetention }
 	}
+	if cfg.Logger == nil {
+		cfg.Logger = slog.New(slog.DiscardHandler)
+	}
 	return &Front{cfg: cfg, flight: newFlight()}
 }
 
@@ -57,17 +65,17 @@
 	rc := beginCall(w)
 	defer endCall(rc, r)
 	if refusal := refusalOf(r); refusal != nil {
-		refusal.write(w)
+		f.refuse(w, r, refusal, "")
 		return
 	}
 	route, refusal := f.route(r)
 	if refusal != nil {
-		refusal.write(w)
+		f.refuse(w, r, refusal, "")
 		return
 	}
 	c, refusal := f.newCall(w, r, route)
 	if refusal != nil {
-		refusal.write(w)
+		f.refuse(w, r, refusal, route.ID)
 		return
 	}
 	defer c.close()
@@ -101,10 +109,14 @@
 	if hops >= maxHops {
 		return nil, notRun(http.StatusLoopDetected, ReasonTooManyHop, "the chain of calls is too deep")
 	}
+	service := route.Choose(rand.Uint64())
+	if len(service.Endpoints) == 0 {
+		return nil, notRun(http.StatusServiceUnavailable, ReasonNoBackend, "the service has no backend server")
+	}
 	now := time.Now()
 	c := &call{
-		front: f, w: w, r: r, ctx: r.Context(), route: route, service: route.Service, policy: &route.Service.Policy,
-		started: now, deadline: now.Add(timeoutOf(r, route)), idempotent: route.IsIdempotent(r.Method),
+		front: f, w: w, r: r, ctx: r.Context(), route: route, service: service, policy: &service.Policy,
+		started: now, deadline: now.Add(f.timeoutOf(r, route)), idempotent: route.IsIdempotent(r.Method),
 		body: newKeptBody(r),
 	}
 	if refusal := c.checkKey(now); refusal != nil {
@@ -116,12 +128,12 @@
 
 // timeoutOf returns the time limit of a call: the caller's, if it is shorter
 // than the route's.
-func timeoutOf(r *http.Request, route *snapshot.Route) time.Duration {
+func (f *Front) timeoutOf(r *http.Request, route *snapshot.Route) time.Duration {
 	limit := time.Duration(route.Timeout)
 	if limit == 0 {
 		limit = time.Duration(route.Service.Policy.Timeout)
 	}
-	if left, ok := deadlineOf(r.Header); ok {
+	if left, ok := deadlineOf(r.Header, f.cfg.Dialect.deadlineName()); ok {
 		limit = min(limit, left)
 	}
 	return limit
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -20,6 +20,7 @@
 	HeaderHops         = "Goldcrest-Hops"
 	HeaderKey          = "Goldcrest-Key" // the idempotency key between nodes
 	HeaderRoute        = "Goldcrest-Route"
+	HeaderService      = "Goldcrest-Service"     // between nodes: the service that a call is meant for
 	HeaderKeyCaller    = "Idempotency-Key"       // the idempotency key from callers
 	HeaderOnce         = "Goldcrest-Once"        // between nodes: run at most once under the key; the value is the form of keys
 	HeaderRepeat       = "Goldcrest-Repeat"      // between nodes: the call may run more than once
@@ -46,6 +47,9 @@
 	ReasonNoBackend      = "no_backend"
 	ReasonDraining       = "draining"
 	ReasonOverloaded     = "overloaded"
+	ReasonShed           = "shed_by_server" // the backend server itself did not run the call
+	ReasonWrongService   = "wrong_service"  // another service runs at the address now
+	ReasonNotReported    = "not_reported"   // the backend server has not reported to its node yet
 	ReasonConnect        = "connect_failed"
 	ReasonReleased       = "claim_released" // between nodes only
 	ReasonCut            = "connection_cut"
@@ -76,7 +80,9 @@
 	RanStatus    int           `json:"ranStatus,omitempty"` // of an answer that is no longer there
 }
 
-func (f Failure) write(w http.ResponseWriter) {
+// write answers a caller who speaks dialect d.
+func (f Failure) write(w http.ResponseWriter, d *Dialect) {
+	f = d.edit(f)
 	h := w.Header()
 	h.Set(HeaderOutcome, string(f.Outcome))
 	h.Set(HeaderReason, f.Reason)
@@ -84,8 +90,7 @@
 	if f.RetryAfter > 0 {
 		f.RetryAfterMs = max(f.RetryAfter.Milliseconds(), 1)
 		h.Set(HeaderRetryAfterMs, strconv.FormatInt(f.RetryAfterMs, 10))
-		seconds := int64((f.RetryAfter + time.Second - 1) / time.Second)
-		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+		h.Set("Retry-After", d.retryAfter(f.RetryAfter))
 	}
 	w.WriteHeader(f.Status)
 	_ = json.NewEncoder(w).Encode(f)
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -18,7 +18,6 @@
 // try sends the call to one server and, when that is slow and the call may
 // run twice, to a second one.
 func (c *call) try(choice balance.Choice) *tried {
-	c.tries++
 	if delay, ok := c.hedgeAfter(); ok {
 		return c.hedged(choice, delay)
 	}
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -83,8 +83,8 @@
 // since the outcome is kept for repeats.
 func (v *visit) runClaim(run *once.Run) {
 	v.ctx = context.WithoutCancel(v.ctx)
-	if v.guard.draining.Load() {
-		v.release(run, drainingFailure())
+	if f := v.guard.closed(time.Now()); f != nil {
+		v.release(run, f)
 		return
 	}
 	p, f := v.admit()
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -89,8 +89,8 @@
 
 // deadlineOf returns the time that a call has left by its header, and false
 // when the header does not say.
-func deadlineOf(h http.Header) (time.Duration, bool) {
-	ms, err := strconv.ParseInt(h.Get(HeaderDeadlineMs), 10, 64)
+func deadlineOf(h http.Header, name string) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(h.Get(name), 10, 64)
 	if err != nil || ms < 0 || ms > maxDeadline.Milliseconds() {
 		return 0, false
 	}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -109,7 +110,14 @@
 
 // sendOnce sends the call and looks for a crash when it is lost.
 func (v *visit) sendOnce(fresh bool) (*answer, *sendError) {
+	if f := v.guard.closed(time.Now()); f != nil {
+		return nil, &sendError{cause: errors.Mark(errors.New(f.Message), errClosed)}
+	}
 	a, err := v.send(fresh)
+	if err == nil && !v.guard.cfg.Dialect.answers(v.r, a) {
+		a.Close()
+		return nil, &sendError{cause: errMismatch, sent: true, connected: true, reused: !fresh}
+	}
 	if err != nil && v.lost(err) {
 		v.checkCrash()
 	}
@@ -141,6 +149,8 @@
 	}
 	if v.repeat {
 		s.idleWait = time.Duration(float64(left) * guardIdleWait)
+	} else {
+		s.maxIdle = v.guard.cfg.Link.freshAfter
 	}
 	return v.guard.cfg.Link.send(v.ctx, s)
 }
@@ -152,10 +162,10 @@
 	if key, ok := h[HeaderKey]; ok {
 		h[HeaderKeyCaller] = key
 	}
-	for _, name := range []string{HeaderKey, HeaderRoute, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat, HeaderQuarantine} {
+	for _, name := range []string{HeaderKey, HeaderRoute, HeaderService, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat, HeaderQuarantine} {
 		delete(h, name)
 	}
-	h[HeaderDeadlineMs] = []string{formatDeadline(left)}
+	v.speak(h, left)
 	hideRepeatKeys(h)
 	return h
 }
@@ -185,6 +195,9 @@
 const downRetryAfter = 200 * time.Millisecond
 
 func (v *visit) failureOf(err *sendError) *Failure {
+	if errors.Is(err, errClosed) {
+		return cmp.Or(v.guard.closed(time.Now()), drainingFailure())
+	}
 	f := failureOf(err, v.body)
 	if err.refused() {
 		f = f.later(downRetryAfter)
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -88,6 +88,7 @@
 		}
 		c.drop(last)
 		t := c.try(choice)
+		c.count(t)
 		if !c.again(t) {
 			return t
 		}
@@ -105,14 +106,33 @@
 	if d.Verdict == retry.TryNext && !d.Free && !c.spend() {
 		d.Verdict = retry.GiveUp
 	}
+	c.logAttempt(t, d)
 	t.exhausted = d.Verdict == retry.GiveUp
 	return d.Verdict == retry.TryNext
 }
 
+// count notes an attempt that ended. A refusal by the node beside a backend
+// server adds no load there, so it is no try.
+func (c *call) count(t *tried) {
+	if t.outcome() == retry.NotRun && t.reason() != ReasonShed {
+		c.refusals++
+		return
+	}
+	c.tries++
+}
+
+// maxRetries returns how many servers the call may be sent to after the first.
+func (c *call) maxRetries() int {
+	if c.route.MaxAttempts > 0 {
+		return c.route.MaxAttempts - 1
+	}
+	return c.policy.Retries
+}
+
 func (c *call) describe(t *tried) retry.Attempt {
 	a := retry.Attempt{
 		Idempotent: c.idempotent, Outcome: t.outcome(), Reason: t.reason(), Status: t.status(),
-		Tries: c.tries, MaxRetries: c.policy.Retries, Remaining: c.remaining(), Needed: leastAttempt,
+		Tries: c.tries, Refusals: c.refusals, MaxRetries: c.maxRetries(), Remaining: c.remaining(), Needed: leastAttempt,
 		Canceled: c.ctx.Err() != nil, BodyLost: !c.body.resendable(),
 	}
 	if t.answer != nil {
@@ -255,7 +275,7 @@
 // retry-after holds for other calls too.
 func steers(t *tried) bool {
 	switch t.reason() {
-	case ReasonOverloaded, ReasonDraining, ReasonConnect:
+	case ReasonOverloaded, ReasonShed, ReasonDraining, ReasonConnect, ReasonNotReported, ReasonWrongService:
 		return true
 	}
 	return t.outcome() == retry.Ran && t.status() == http.StatusServiceUnavailable
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -44,8 +44,15 @@
 var unreachedReasons = map[string]bool{
 	"connect_failed": true,
 	"draining":       true,
+	"not_reported":   true,
+	"overloaded":     true,
+	"wrong_service":  true,
 }
 
+// maxRefusals bounds the nodes that refuse one call before it is given up, so
+// that an overloaded service is not searched node by node.
+const maxRefusals = 3
+
 // maxAnswerHops is how many nodes below this one an answer may have passed
 // through and still be retried here: the one beside the backend server.
 const maxAnswerHops = 1
@@ -59,7 +66,8 @@
 	// AnswerHops is how many nodes below this one the answer came through. It
 	// is 0 when the attempt failed on the way to the first of them.
 	AnswerHops int
-	Tries      int // attempts sent so far, hedges included
+	Tries      int // attempts so far that may have reached a backend server, hedges included
+	Refusals   int // attempts so far that reached no backend server
 	MaxRetries int // of the profile's policy
 	// Remaining is the time left until the call's deadline, and Needed the
 	// least time in which another attempt can succeed.
@@ -110,6 +118,7 @@
 	{"final_status", Attempt.finalStatus, PassOn},
 	{"body_lost", func(a Attempt) bool { return a.BodyLost }, GiveUp},
 	{"tries_used", func(a Attempt) bool { return a.Tries > a.MaxRetries }, GiveUp},
+	{"refusals_used", func(a Attempt) bool { return a.Refusals > maxRefusals }, GiveUp},
 	{"no_time_left", func(a Attempt) bool { return a.Remaining <= a.Needed }, GiveUp},
 	{"retry", func(Attempt) bool { return true }, TryNext},
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,8 +18,9 @@
 	Listen        Listen        `json:"listen" doc:"addresses that the node listens on"`
 	BackendServer BackendServer `json:"backendServer" doc:"the backend server beside the node"`
 	Log           Log           `json:"log" doc:"the platform's log"`
+	Platform      Platform      `json:"platform" doc:"the users' platform in place of the log"`
 	Peers         Peers         `json:"peers" doc:"the inner protocol"`
-	Logging       Logging       `json:"logging" doc:"log lines on standard error"`
+	Logging       Logging       `json:"logging" doc:"log lines on standard output"`
 	Drain         Drain         `json:"drain" doc:"graceful shutdown"`
 }
 
@@ -49,7 +50,18 @@
 
 // Log is how the node reaches the platform's log.
 type Log struct {
-	Address string `json:"address" required:"true" doc:"HTTP address of the log service, ip:port"`
+	Address string `json:"address" default:"" doc:"HTTP address of the log service, ip:port; needed without platform.store"`
+}
+
+// Platform is how the node runs on the users' platform. It is in use when
+// Store is set.
+type Platform struct {
+	Store     string `json:"store" default:"" doc:"HTTP address of the platform's store, ip:port; empty runs on the log"`
+	Reports   string `json:"reports" default:"" doc:"address for status reports of the backend server, ip:port"`
+	Readiness string `json:"readiness" default:"" doc:"address for the platform's questions whether the node takes calls, ip:port"`
+
+	RetryBudget   float64 `json:"retryBudget" default:"0.1" min:"0" max:"1" doc:"retries and hedges as a share of calls, for every service"`
+	MemoryLimitMB int     `json:"memoryLimitMB" default:"0" min:"0" max:"1000000" doc:"memory that the process may use, in MB; 0 sets no limit"`
 }
 
 // Peers are settings of the inner protocol.
@@ -112,6 +124,12 @@
 	found = append(found, checkReachable(root, "peer", s.Listen.Peer)...)
 	check("backendServer", "address", s.BackendServer.Address)
 	check("log", "address", s.Log.Address)
+	check("platform", "store", s.Platform.Store)
+	check("platform", "reports", s.Platform.Reports)
+	check("platform", "readiness", s.Platform.Readiness)
+	if s.Log.Address == "" && s.Platform.Store == "" {
+		found = append(found, root.Finding("neither log.address nor platform.store is set", "one of them"))
+	}
 	if peers, ok := root.Field("peers"); ok {
 		if seeds, ok := peers.Field("seeds"); ok {
 			for _, v := range seeds.Items() {
--- a/internal/snapshot/generation.go
+++ b/internal/snapshot/generation.go
@@ -39,6 +39,40 @@
 	profile.Route
 	ID      string // profile/route
 	Service *Service
+	Parts   []Part // services that share the calls; empty sends all to Service
+	weights int    // sum over Parts
+}
+
+// Part is a service's share of a route.
+type Part struct {
+	Service *Service
+	Weight  int
+}
+
+// Choose returns the service of one call. random decides between the parts of
+// a split; a part without backend servers keeps its share, so that its calls
+// are refused and not moved to another service.
+func (r *Route) Choose(random uint64) *Service {
+	if r.weights == 0 {
+		return r.Service
+	}
+	n := int(random % uint64(r.weights))
+	for _, p := range r.Parts {
+		if n -= p.Weight; n < 0 {
+			return p.Service
+		}
+	}
+	return r.Service
+}
+
+// held reports whether no service of the route has a backend server.
+func (r *Route) held() bool {
+	for _, p := range r.Parts {
+		if len(p.Service.Endpoints) > 0 {
+			return false
+		}
+	}
+	return len(r.Service.Endpoints) == 0
 }
 
 // Generation is one consistent set of routes and services. It is immutable.
@@ -87,7 +121,7 @@
 			continue
 		}
 		out[m.Service] = append(out[m.Service], &Endpoint{
-			ID: m.ID, Incarnation: m.Incarnation, GuardAddress: m.GuardAddress,
+			ID: m.ID, Incarnation: max(m.Incarnation, m.ServerBorn), GuardAddress: m.GuardAddress,
 			Region: m.Region, FailureDomain: m.FailureDomain, Slots: m.Slots,
 		})
 	}
@@ -118,13 +152,20 @@
 		if choice != p.Name {
 			continue
 		}
-		svc := g.Services[r.Service]
-		if svc == nil {
-			svc = &Service{Name: r.Service, Profile: p.Name, Version: v, Policy: p.Policy, Endpoints: endpoints[r.Service]}
-			g.Services[r.Service] = svc
+		service := func(name string) *Service {
+			svc := g.Services[name]
+			if svc == nil {
+				svc = &Service{Name: name, Profile: p.Name, Version: v, Policy: p.Policy, Endpoints: endpoints[name]}
+				g.Services[name] = svc
+			}
+			return svc
+		}
+		route := &Route{Route: r, ID: p.Name + "/" + r.Name, Service: service(r.Service)}
+		for _, part := range r.Split {
+			route.Parts = append(route.Parts, Part{Service: service(part.Service), Weight: part.Weight})
+			route.weights += part.Weight
 		}
-		route := &Route{Route: r, ID: p.Name + "/" + r.Name, Service: svc}
-		if len(svc.Endpoints) == 0 {
+		if route.held() {
 			g.HeldBack = append(g.HeldBack, route)
 			continue
 		}
@@ -151,7 +192,7 @@
 		switch {
 		case svc == nil || svc != r.Service:
 			found = append(found, finding.Finding{Path: r.ID, Problem: "route names service " + r.Route.Service + ", which this generation lacks"})
-		case len(svc.Endpoints) == 0:
+		case r.held():
 			found = append(found, finding.Finding{Path: r.ID, Problem: "route names service " + svc.Name + ", which has no backend server"})
 		}
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -19,9 +19,18 @@
 	"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError,
 }
 
-// NewLogger returns a logger in the form that the settings ask for.
+// Level returns the lowest level that the settings let through.
+func Level(s settings.Logging) slog.Level { return levels[s.Level] }
+
+// NewLogger returns a logger as the settings ask for it.
 func NewLogger(w io.Writer, s settings.Logging) *slog.Logger {
-	opts := &slog.HandlerOptions{Level: levels[s.Level]}
+	return NewLeveledLogger(w, s, Level(s))
+}
+
+// NewLeveledLogger returns a logger in the form that the settings ask for. Its
+// level may change while it is in use.
+func NewLeveledLogger(w io.Writer, s settings.Logging, level slog.Leveler) *slog.Logger {
+	opts := &slog.HandlerOptions{Level: level}
 	if s.Format == "json" {
 		return slog.New(slog.NewJSONHandler(w, opts))
 	}
