Place calls by the exact load of the nodes, and end no answer for its silence

Change: load reports of nodes are exact and scale the expected time by how full a server is; a call accepts a bounded wait while another server is left to be asked; bytes that leave the failure domain weigh as delay; TCP_USER_TIMEOUT finds connections that went silent.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -107,7 +107,7 @@
 	defer g.mu.Unlock()
 	t := g.newTicketLocked(now, r, times)
 	g.demand.arrive(t.class, now)
-	if d, refused := g.refuseLocked(now, t); refused {
+	if d, refused := g.refuseLocked(now, t, r.Patience); refused {
 		return nil, d
 	}
 	g.queue.push(t, now)
@@ -148,12 +148,14 @@
 }
 
 // refuseLocked decides whether a call is turned away on arrival.
-func (g *Gate) refuseLocked(now time.Time, t *Ticket) (Decision, bool) {
+func (g *Gate) refuseLocked(now time.Time, t *Ticket, patience time.Duration) (Decision, bool) {
 	switch {
 	case g.draining:
 		return g.refusalLocked(now, ReasonDraining), true
 	case t.latest.Before(now):
 		return g.refusalLocked(now, ReasonDeadline), true
+	case g.impatientLocked(now, t, patience):
+		return g.refusalLocked(now, ReasonOverloaded), true
 	case g.roomLocked(now, t):
 		return Decision{}, false
 	}
@@ -161,6 +163,15 @@
 	return g.refusalLocked(now, ReasonOverloaded), true
 }
 
+// impatientLocked reports whether a call would wait longer than it accepts. It
+// is refused at once, while it can still be tried elsewhere in time.
+func (g *Gate) impatientLocked(now time.Time, t *Ticket, patience time.Duration) bool {
+	if patience <= 0 || g.mayRunLocked(now, t.priority, t.class) {
+		return false
+	}
+	return g.waitLocked(now) > patience
+}
+
 // roomLocked reports whether a call may enter, and makes room for it where it
 // has the better claim: a caller's call displaces a background one, and in a
 // standing queue that costs deadlines the newest call displaces the oldest,
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -28,6 +28,9 @@
 	Route    string
 	Priority Priority
 	Deadline time.Time // zero stands for the longest wait
+	// Patience is the longest expected wait for a slot that the call accepts,
+	// since it can be sent elsewhere; 0 sets no bound.
+	Patience time.Duration
 }
 
 // Verdict is the result of a decision.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -34,6 +34,10 @@
 	// the region and to another region. Zero takes the default.
 	DomainRTT time.Duration
 	RegionRTT time.Duration
+	// DomainByteCost and RegionByteCost are the delay that is as bad as moving
+	// 1 KB to or from another failure domain of the region, and another region.
+	DomainByteCost time.Duration
+	RegionByteCost time.Duration
 }
 
 // Default round trips, those of the slower of the two deployments in section
@@ -80,11 +84,26 @@
 	return 0
 }
 
+// cost is the delay that is as bad as moving the bytes of a call.
+func (l Locality) cost(t Tier, bytes int64) time.Duration {
+	const kilobyte = 1 << 10
+	per := time.Duration(0)
+	switch t {
+	case TierRegion:
+		per = l.DomainByteCost
+	case TierAcross:
+		per = l.RegionByteCost
+	}
+	return time.Duration(float64(per) * float64(bytes) / kilobyte)
+}
+
 // Request asks for the backend server of one attempt.
 type Request struct {
 	Service *snapshot.Service
 	// Exclude names the servers already tried, for retries and hedges.
 	Exclude []string
+	// Bytes is about how many bytes the call moves, 0 when unknown.
+	Bytes int64
 }
 
 // Choice is the backend server that an attempt goes to.
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -51,7 +51,7 @@
 	if len(all) == 0 {
 		return Choice{}, ErrCrossRegionSpent
 	}
-	choice := b.choose(now, steered(now, all))
+	choice := b.choose(now, steered(now, all), r.Bytes)
 	if choice.Tier == TierAcross {
 		b.across.track(now, limit)
 	}
@@ -145,7 +145,7 @@
 
 // choose takes the best of two of the nearest tier and moves on to the next
 // tier while that expects to be much faster.
-func (b *Balancer) choose(now time.Time, all []*candidate) Choice {
+func (b *Balancer) choose(now time.Time, all []*candidate, bytes int64) Choice {
 	fallback := meanLatency(all)
 	var best Choice
 	for t := TierDomain; t < tierCount; t++ {
@@ -154,7 +154,7 @@
 			continue
 		}
 		c := b.bestOfTwo(now, tier, fallback)
-		if best.Endpoint == nil || b.spills(best, c) {
+		if best.Endpoint == nil || b.spills(best, c, bytes) {
 			best = c
 		}
 	}
@@ -164,8 +164,9 @@
 // spills compares a nearer choice with one of a farther tier. The round trip
 // is added although the measured latency holds it, so that calls do not move
 // back and forth over small differences.
-func (b *Balancer) spills(near, far Choice) bool {
+func (b *Balancer) spills(near, far Choice, bytes int64) bool {
 	between := b.local.rtt(far.Tier) - b.local.rtt(near.Tier)
+	between += b.local.cost(far.Tier, bytes) - b.local.cost(near.Tier, bytes)
 	return float64(near.Expected) > b.stats.cfg.SpillRatio*float64(far.Expected)+float64(between)
 }
 
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -26,8 +26,9 @@
 	answers   float64
 	sampledAt time.Time
 
-	report   LoadReport
-	reportAt time.Time
+	report    LoadReport
+	reportAt  time.Time
+	sentSince int // calls sent since the report
 
 	steerUntil time.Time // the server asked for no calls until then
 
@@ -59,6 +60,7 @@
 func (s *server) begin(now time.Time) {
 	s.seen = now
 	s.inFlight++
+	s.sentSince++
 	s.startSum += now.Sub(s.since).Nanoseconds()
 }
 
@@ -70,6 +72,7 @@
 	if r.Report != nil {
 		s.report = *r.Report
 		s.reportAt = now
+		s.sentSince = 0
 	}
 	s.judge(cfg, now, r)
 }
@@ -241,10 +244,35 @@
 // expected is the expected completion time of one more call. fallback stands
 // in for the latency of a server that was never measured.
 func (s *server) expected(cfg Config, now time.Time, fallback time.Duration) time.Duration {
+	if cfg.ExactReports && s.report.Slots > 0 {
+		return time.Duration(s.latency(cfg, now, fallback) * crowding(s.occupancy(cfg, now)))
+	}
 	load := float64(s.inFlight + 1)
 	return time.Duration(s.latency(cfg, now, fallback) * load * s.hint(cfg, now))
 }
 
+// occupancy is the share of the server's slots that calls hold or wait for, by
+// its node's last report and the own calls since.
+func (s *server) occupancy(cfg Config, now time.Time) float64 {
+	age := float64(max(now.Sub(s.reportAt), 0)) / float64(cfg.ReportHalfLife)
+	calls := float64(s.report.InFlight+s.report.Queued)*math.Exp2(-age) + float64(s.sentSince+1)
+	return calls / float64(s.report.Slots)
+}
+
+// crowding is how many times longer a call takes at an occupancy. Below one a
+// call finds a slot, but servers slow down as they fill; above one it waits.
+func crowding(occupancy float64) float64 {
+	if occupancy <= 1 {
+		return 1 + occupancy*occupancy
+	}
+	return 2 + queueSlope*(occupancy-1)
+}
+
+// queueSlope is how much longer a call takes for each further round of calls
+// that wait before it. It is above 1, since those ahead come from many nodes
+// that all see the same report.
+const queueSlope = 3
+
 // latency is the mean latency, in ns, in which calls in flight count with
 // their age so far. It fades towards fallback while no sample arrives, so that
 // a server that recovered is tried again.
--- a/internal/balance/stats.go
+++ b/internal/balance/stats.go
@@ -22,6 +22,7 @@
 	EjectMax       time.Duration // longest ejection, and healthy time after which it starts anew
 	EjectShare     float64       // most of a service's servers that are ejected at once
 	ProbeTimeout   time.Duration // a probe without a result is given up after this
+	ExactReports   bool          // load reports come from nodes that count each call, and not from servers
 	SpillRatio     float64       // a nearer tier is left when it expects this many times the next
 }
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -22,6 +22,7 @@
 	stats      *balance.Stats
 	budgets    *retry.Budgets
 	latencies  *retry.Latencies
+	sizes      *balance.Sizes
 	quarantine *quarantine.List
 	suspects   *suspects
 	gate       *admission.Gate
@@ -34,26 +35,35 @@
 // newCalls assembles the path of calls.
 func (n *Node) newCalls(log platformlog.Log, self membership.Member) {
 	c := &n.calls
-	c.stats = balance.NewStats(balance.Config{})
+	c.stats = balance.NewStats(balance.Config{ExactReports: true, SpillRatio: spillRatio})
 	c.budgets = retry.NewBudgets()
 	c.latencies = retry.NewLatencies()
+	c.sizes = balance.NewSizes()
 	c.quarantine = quarantine.NewList(quarantine.Config{})
 	c.suspects = newSuspects()
-	c.gate = admission.NewGate(admission.Config{
-		Slots: n.settings.BackendServer.Slots, Queue: defaultQueue, ColdStart: admission.DefaultColdStart,
-	})
+	coldStart := admission.DefaultColdStart
+	if n.reported() {
+		coldStart = 0 // the balancers see that the server is slow; its slots are whole
+	}
+	c.gate = admission.NewGate(admission.Config{Slots: n.settings.BackendServer.Slots, Queue: defaultQueue, ColdStart: coldStart})
 	c.claims = newClaimers(self.ID, log, n.table, n.peers.pool, n.agent.Digest)
 	c.once = once.NewCoordinator(once.CoordinatorConfig{
 		Self: once.Holder{Node: self.ID, Incarnation: self.Incarnation}, Reach: c.claims.reach,
 	})
 	c.backend = proxy.NewLink(proxy.LinkConfig{
 		MaxConns: n.settings.BackendServer.Connections, IdleTimeout: backendIdleTimeout, FreshAfter: backendFreshAfter,
+		UnackedLimit: unackedLimit,
 	})
-	c.nodes = proxy.NewLink(proxy.LinkConfig{})
-	downstream := &proxy.Downstream{}
+	c.nodes = proxy.NewLink(proxy.LinkConfig{UnackedLimit: unackedLimit, ConnectTimeout: nodeConnectTimeout})
+	var downstream *proxy.Downstream
+	if n.platform.Source == nil {
+		// On a platform all nodes share one retry budget, which bounds what
+		// layers above a failure send.
+		downstream = &proxy.Downstream{}
+	}
 	n.front = proxy.NewFront(proxy.FrontConfig{
-		Holder: n.holder, Link: c.nodes, Balancer: balance.NewBalancer(c.stats, locality(self), rand.Uint64), Stats: c.stats,
-		Budgets: c.budgets, Latencies: c.latencies, Quarantine: c.quarantine, News: c.suspects.tell,
+		Holder: n.holder, Link: c.nodes, Balancer: balance.NewBalancer(c.stats, n.locality(self), rand.Uint64), Stats: c.stats,
+		Budgets: c.budgets, Latencies: c.latencies, Sizes: c.sizes, Quarantine: c.quarantine, News: c.suspects.tell,
 		Downstream: downstream, Dialect: n.platform.Dialect, Service: n.settings.Node.Service, Logger: n.logger,
 	})
 	n.guard = proxy.NewGuard(proxy.GuardConfig{
@@ -67,17 +77,30 @@
 	// backendIdleTimeout lies below the 10 s after which backend servers close
 	// idle connections.
 	backendIdleTimeout = 6 * time.Second
+	// unackedLimit is about twice the longest round trip with one lost packet.
+	unackedLimit = 500 * time.Millisecond
+	// nodeConnectTimeout is several round trips between regions. A node that
+	// lost its power does not answer at all.
+	nodeConnectTimeout = 250 * time.Millisecond
 	// backendFreshAfter keeps calls that must not be sent twice from
 	// connections that the backend server may be about to close.
 	backendFreshAfter = time.Second
 )
 
+// spillRatio is how many times longer the own failure domain may be expected
+// to take before a call leaves it. Reports are exact, so a small difference is
+// worth the way.
+const spillRatio = 1.3
+
 // defaultQueue is the bound on calls that wait for a slot, the default of the
 // policy.
 const defaultQueue = 64
 
-func locality(m membership.Member) balance.Locality {
-	return balance.Locality{Region: m.Region, FailureDomain: m.FailureDomain}
+func (n *Node) locality(m membership.Member) balance.Locality {
+	return balance.Locality{
+		Region: m.Region, FailureDomain: m.FailureDomain,
+		DomainByteCost: n.settings.Network.DomainByteCost.D(), RegionByteCost: n.settings.Network.RegionByteCost.D(),
+	}
 }
 
 // guardOf returns the address of the guard of a holder that is alive. A
@@ -145,6 +168,7 @@
 	n.calls.stats.Prune(now, unusedAfter)
 	n.calls.budgets.Prune(now, unusedAfter)
 	n.calls.latencies.Prune(now, unusedAfter)
+	n.calls.sizes.Prune(now, unusedAfter)
 }
 
 // followPolicy gives the gate the limits of the profile that the own service
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -76,9 +76,6 @@
 	}
 	r.guard.SetServer(state)
 	r.calls.gate.SetSlots(report.Slots)
-	if c.Started && report.Warmup > 0 {
-		r.calls.gate.Started(time.Now())
-	}
 	self := r.agent.Revise(func(m membership.Member) membership.Member {
 		m.Service, m.Slots = r.settings.Node.Service, report.Slots
 		m.ServerID, m.ServerBorn, m.ServerReport = report.ID, report.Born*int64(time.Millisecond), report.Number
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -131,7 +131,7 @@
 	if info.Reused && (stale || !x.link.trusts(conn) || !conn.settled()) {
 		conn.seal()
 	}
-	if x.idleWait > 0 && info.Reused && info.IdleTime >= silentIdle {
+	if x.link.unackedLimit == 0 && x.idleWait > 0 && info.Reused && info.IdleTime >= silentIdle {
 		x.timer.Reset(x.idleWait)
 	}
 	x.info.Store(&info)
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -78,7 +78,7 @@
 // baseHeader returns the headers for the guard.
 func (c *call) baseHeader(hops int) http.Header {
 	h := requestHeader(c.r)
-	for _, name := range []string{HeaderKey, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat, HeaderQuarantine} {
+	for _, name := range []string{HeaderKey, HeaderPatienceMs, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat, HeaderQuarantine} {
 		delete(h, name)
 	}
 	d := &c.front.cfg.Dialect
@@ -199,6 +199,9 @@
 	c.editAnswer(t)
 	n, err := relay(c.w, c.r, t.answer)
 	c.spendBytes(t, n)
+	if c.front.cfg.Sizes != nil {
+		c.front.cfg.Sizes.Observe(c.route.ID, n+max(c.r.ContentLength, 0), time.Now())
+	}
 	if err != nil {
 		c.logEnd(nil, err)
 		abort(c.w, c.r)
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/shard"
 )
@@ -43,6 +45,12 @@
 	// out on that must not be sent twice; 0 sets no bound. The other side may
 	// close an idle connection while the call is on its way.
 	FreshAfter time.Duration
+	// UnackedLimit is how long bytes may stay unacknowledged before the system
+	// ends a connection: one that went silent is found without a time limit on
+	// answers. 0 leaves it to the system. It has no effect with Dial.
+	UnackedLimit time.Duration
+	// ConnectTimeout bounds the opening of a connection; 0 takes the default.
+	ConnectTimeout time.Duration
 	// IdleTimeout is how long an idle connection is kept; 0 takes the default.
 	IdleTimeout time.Duration
 }
@@ -50,34 +58,55 @@
 // Link sends calls to other processes. It keeps idle connections and can open
 // a new one on demand.
 type Link struct {
-	dial        Dial
-	slots       chan struct{} // one token per open connection; nil without a bound
-	idleTimeout time.Duration
-	freshAfter  time.Duration
-	pooled      *http.Transport
-	fresh       *http.Transport
-	distrusted  *shard.Map[time.Time] // by address: older idle connections are not used
+	dial           Dial
+	slots          chan struct{} // one token per open connection; nil without a bound
+	unackedLimit   time.Duration
+	connectTimeout time.Duration
+	idleTimeout    time.Duration
+	freshAfter     time.Duration
+	pooled         *http.Transport
+	fresh          *http.Transport
+	distrusted     *shard.Map[time.Time] // by address: older idle connections are not used
 }
 
 // NewLink returns a Link.
 func NewLink(cfg LinkConfig) *Link {
 	l := &Link{dial: cfg.Dial, distrusted: shard.NewMap[time.Time](shard.DefaultCount)}
 	if l.dial == nil {
-		l.dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveCount,
-		}}).DialContext
+		l.unackedLimit = cfg.UnackedLimit
+		l.dial = newDialer(cfg.UnackedLimit).DialContext
 	}
 	if cfg.MaxConns > 0 {
 		l.slots = make(chan struct{}, cfg.MaxConns)
 	}
 	l.idleTimeout = cmp.Or(cfg.IdleTimeout, idleConnTimeout)
 	l.freshAfter = cfg.FreshAfter
+	l.connectTimeout = cmp.Or(cfg.ConnectTimeout, connectTimeout)
 	l.pooled = l.transport(false)
 	l.pooled.MaxConnsPerHost = cfg.MaxConns
 	l.fresh = l.transport(true)
 	return l
 }
 
+// newDialer returns a dialer whose connections end when the other side is
+// gone, idle or not.
+func newDialer(unacked time.Duration) *net.Dialer {
+	d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveCount,
+	}}
+	if unacked <= 0 {
+		return d
+	}
+	d.Control = func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
+		})
+		return errors.Wrap(errors.CombineErrors(err, failed), "set TCP_USER_TIMEOUT")
+	}
+	return d
+}
+
 func (l *Link) transport(fresh bool) *http.Transport {
 	return &http.Transport{
 		DialContext: l.open, DisableKeepAlives: fresh, DisableCompression: true,
@@ -99,7 +128,7 @@
 }
 
 func (l *Link) open(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.connectTimeout)
 	defer cancel()
 	if err := l.take(ctx); err != nil {
 		return nil, err
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -24,6 +24,7 @@
 	Stats      *balance.Stats
 	Budgets    *retry.Budgets
 	Latencies  *retry.Latencies
+	Sizes      *balance.Sizes // nil for none
 	Quarantine *quarantine.List
 	Downstream *Downstream  // told of failures; shared with the Guard; nil for none
 	Dialect    Dialect      // headers of the callers
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -20,6 +20,7 @@
 	HeaderHops         = "Goldcrest-Hops"
 	HeaderKey          = "Goldcrest-Key" // the idempotency key between nodes
 	HeaderRoute        = "Goldcrest-Route"
+	HeaderPatienceMs   = "Goldcrest-Patience-Ms" // between nodes: longest wait for a slot while another server is left to ask
 	HeaderService      = "Goldcrest-Service"     // between nodes: the service that a call is meant for
 	HeaderKeyCaller    = "Idempotency-Key"       // the idempotency key from callers
 	HeaderOnce         = "Goldcrest-Once"        // between nodes: run at most once under the key; the value is the form of keys
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -97,6 +97,16 @@
 	return time.Duration(ms) * time.Millisecond, true
 }
 
+// patienceOf returns the longest wait for a slot that a call accepts, 0 when
+// it sets no bound.
+func patienceOf(h http.Header) time.Duration {
+	ms, err := strconv.ParseInt(h.Get(HeaderPatienceMs), 10, 32)
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // maxDeadline is the longest time that a call may have.
 const maxDeadline = time.Hour
 
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -56,7 +56,7 @@
 		priority = admission.Background
 	}
 	ticket, d := v.guard.cfg.Gate.Enter(now, admission.Request{
-		Route: v.r.Header.Get(HeaderRoute), Priority: priority, Deadline: v.deadline,
+		Route: v.r.Header.Get(HeaderRoute), Priority: priority, Deadline: v.deadline, Patience: patienceOf(v.r.Header),
 	})
 	if d.Verdict == admission.Queued {
 		d = v.await(ticket)
@@ -162,7 +162,7 @@
 	if key, ok := h[HeaderKey]; ok {
 		h[HeaderKeyCaller] = key
 	}
-	for _, name := range []string{HeaderKey, HeaderRoute, HeaderService, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat, HeaderQuarantine} {
+	for _, name := range []string{HeaderKey, HeaderRoute, HeaderService, HeaderPatienceMs, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat, HeaderQuarantine} {
 		delete(h, name)
 	}
 	v.speak(h, left)
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -111,6 +111,38 @@
 	return d.Verdict == retry.TryNext
 }
 
+// expectedBytes is about how many bytes the call moves.
+func (c *call) expectedBytes() int64 {
+	if c.front.cfg.Sizes == nil {
+		return 0
+	}
+	return c.front.cfg.Sizes.Mean(c.route.ID)
+}
+
+// patienceShare of the time to the route's latency objective may be spent
+// waiting at one server while another one has not been asked yet.
+const patienceShare = 0.25
+
+// patience is how long the call would rather wait for a slot than be sent on
+// to another server. It is 0, which sets no bound, when none is left.
+func (c *call) patience(choice balance.Choice) time.Duration {
+	objective := time.Duration(c.route.LatencyObjective)
+	others := len(c.service.Endpoints) - len(c.exclude) - 1
+	if objective == 0 || others <= 0 || c.refusals >= patientRefusals {
+		return 0
+	}
+	left := objective - time.Since(c.started)
+	return max(time.Duration(float64(left)*patienceShare), leastPatience)
+}
+
+const (
+	// patientRefusals is how many servers are asked with a bound on the wait.
+	// The next one may let the call wait for as long as its deadline allows.
+	patientRefusals = 2
+	// leastPatience keeps a call that is late from being refused everywhere.
+	leastPatience = 10 * time.Millisecond
+)
+
 // count notes an attempt that ended. A refusal by the node beside a backend
 // server adds no load there, so it is no try.
 func (c *call) count(t *tried) {
@@ -148,7 +180,7 @@
 // pick chooses the next server. When every server was tried and the last one
 // asked to be tried later, it waits for that time if the deadline allows.
 func (c *call) pick(last *tried) (balance.Choice, error) {
-	request := balance.Request{Service: c.service, Exclude: c.exclude}
+	request := balance.Request{Service: c.service, Exclude: c.exclude, Bytes: c.expectedBytes()}
 	choice, err := c.front.cfg.Balancer.Pick(time.Now(), request)
 	if err == nil || last == nil || last.outcome() != retry.NotRun || last.answer == nil {
 		return choice, err
@@ -218,6 +250,9 @@
 	header := maps.Clone(c.header)
 	mark := strconv.FormatUint(rand.Uint64(), 36)
 	header[HeaderCall] = []string{mark}
+	if patience := c.patience(choice); patience > 0 {
+		header[HeaderPatienceMs] = []string{strconv.FormatInt(patience.Milliseconds(), 10)}
+	}
 	header[HeaderDeadlineMs] = []string{formatDeadline(left)}
 	s := sending{
 		address: choice.Endpoint.GuardAddress, in: c.r, header: header, body: c.body,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 	Log           Log           `json:"log" doc:"the platform's log"`
 	Platform      Platform      `json:"platform" doc:"the users' platform in place of the log"`
 	Peers         Peers         `json:"peers" doc:"the inner protocol"`
+	Network       Network       `json:"network" doc:"what it costs to leave the failure domain"`
 	Logging       Logging       `json:"logging" doc:"log lines on standard output"`
 	Drain         Drain         `json:"drain" doc:"graceful shutdown"`
 }
@@ -70,6 +71,12 @@
 	Seeds []string `json:"seeds" doc:"inner protocol addresses to try when the log does not answer, ip:port"`
 }
 
+// Network weighs bytes that leave the failure domain against time.
+type Network struct {
+	DomainByteCost jsonc.Duration `json:"domainByteCost" default:"0s" min:"0s" max:"10s" doc:"delay that is as bad as moving 1 KB to another failure domain of the region"`
+	RegionByteCost jsonc.Duration `json:"regionByteCost" default:"0s" min:"0s" max:"10s" doc:"delay that is as bad as moving 1 KB to another region"`
+}
+
 // Logging are settings of the log lines.
 type Logging struct {
 	Level  string `json:"level" default:"info" oneof:"debug|info|warn|error" doc:"lowest level that is written"`
