--- /dev/null
+++ b/internal/serverstate/serverstate_test.go
@@ -0,0 +1,79 @@
+package serverstate
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+func report(born, number int64, leaving bool) Report {
+	return Report{ID: "i", Born: born, Number: number, Service: "s", Address: "a", Slots: 9, Leaving: leaving}
+}
+
+// Each case guards one way in which a late, doubled or foreign report would
+// bring back a backend server that has left, or lose one that is there.
+func TestAccept(t *testing.T) {
+	foreign := report(2, 9, false)
+	foreign.Service = "other"
+	departure := Report{ID: "i", Leaving: true, Departure: true}
+	oldDeparture := Report{ID: "i", Born: 1, Leaving: true, Departure: true}
+	otherDeparture := Report{ID: "x", Leaving: true, Departure: true}
+	for _, c := range []struct {
+		name    string
+		first   []Report
+		then    Report
+		err     error
+		leaving bool // of the newest report afterwards
+	}{
+		{"first report", nil, report(1, 1, false), nil, false},
+		{"later report of a draining server", []Report{report(1, 1, false)}, report(1, 2, true), nil, true},
+		{"delayed report from before the drain", []Report{report(1, 3, true)}, report(1, 2, false), ErrOld, true},
+		{"the same report again", []Report{report(1, 3, true)}, report(1, 3, true), nil, true},
+		{"ready again in the same start", []Report{report(1, 3, true)}, report(1, 4, false), nil, true},
+		{"restart under the same id counts anew", []Report{report(1, 30, true)}, report(2, 1, false), nil, false},
+		{"delayed report of the start before", []Report{report(2, 1, false)}, report(1, 31, true), ErrOld, false},
+		{"another service at the address", []Report{report(1, 1, false)}, foreign, ErrForeign, false},
+		{"departure", []Report{report(1, 1, false)}, departure, nil, true},
+		{"departure of the start before", []Report{report(2, 1, false)}, oldDeparture, ErrOld, false},
+		{"departure of another server", []Report{report(2, 1, false)}, otherDeparture, ErrForeign, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := NewTracker("s", "a")
+			for _, r := range c.first {
+				_, err := tracker.Accept(r)
+				assert.NilError(t, err)
+			}
+			_, err := tracker.Accept(c.then)
+			assert.Assert(t, errors.Is(err, c.err), "%v", err)
+			assert.Equal(t, tracker.last.Leaving, c.leaving)
+		})
+	}
+}
+
+// Guards against a node that was restarted and takes a delayed report for the
+// first one, after its earlier start had acknowledged the departure.
+func TestRememberedDepartureHolds(t *testing.T) {
+	tracker := NewTracker("s", "a")
+	tracker.Remember(Report{ID: "i", Born: 5, Number: 7, Leaving: true})
+	_, err := tracker.Accept(report(5, 6, false))
+	assert.Assert(t, errors.Is(err, ErrOld))
+	c, err := tracker.Accept(report(5, 8, false))
+	assert.NilError(t, err)
+	assert.Assert(t, c.Report.Leaving && c.Changed)
+	c, err = tracker.Accept(report(6, 1, false))
+	assert.NilError(t, err)
+	assert.Assert(t, !c.Report.Leaving && c.Started)
+}
+
+// Guards against a node that acts on each report of a server that says the
+// same as before.
+func TestRepeatedReportChangesNothing(t *testing.T) {
+	tracker := NewTracker("s", "a")
+	c, err := tracker.Accept(report(1, 1, false))
+	assert.NilError(t, err)
+	assert.Assert(t, c.Started && c.Changed)
+	c, err = tracker.Accept(report(1, 2, false))
+	assert.NilError(t, err)
+	assert.Assert(t, !c.Started && !c.Changed)
+}
