Send and parse only the documents of a configuration that changed

Cause: a configuration of 313 routes in a storm of 28 took 19 ms of processor time on each node and 22 KB for each pull: the whole state travelled, and every document was parsed with places for findings again at each build.

Change: a pull names the position that the node holds and gets the documents that changed since; unchanged ones keep their parsed form; the reader alone checks documents, against the ones before.

--- a/internal/distribution/core.go
+++ b/internal/distribution/core.go
@@ -115,26 +115,33 @@
 
 // adopt takes over a full state that is newer than the one held.
 func (c *core) adopt(have *published, full *peer.FullState) *published {
-	s := stateOf(full.Checkpoint)
-	if have != nil && s.Position.Compare(have.position()) <= 0 {
-		return nil // a node that is behind never moves another back
-	}
-	c.fold = profile.NewFoldFrom(s)
-	next := &published{Folded: s, Applied: s, TipID: full.TipID, CheckpointTime: full.CheckpointTime, Anchors: full.Anchors, RingFrom: s.Position.Offset}
+	checkpoint := full.Checkpoint
 	older := profile.State{}
 	if have != nil {
 		older = have.Applied
 	}
-	if err := s.Resolve(older); err != nil && full.Checkpoint.Whole {
-		// Refused whole. A state of the log was checked by the fold that made
-		// it, and the build of a generation checks it again.
-		c.logger.Error("state_refused", "position", s.Position.String(), "error", err)
+	checkpoint, err := checkpoint.Complete(older)
+	if err != nil {
+		c.logger.Warn("state_incomplete", "error", err)
 		return nil
 	}
-	if have != nil && !full.Checkpoint.Whole {
+	s := stateOf(checkpoint)
+	if have != nil && s.Position.Compare(have.position()) <= 0 {
+		return nil // a node that is behind never moves another back
+	}
+	c.fold = profile.NewFoldFrom(s)
+	next := &published{Folded: s, Applied: s, TipID: full.TipID, CheckpointTime: full.CheckpointTime, Anchors: full.Anchors, RingFrom: s.Position.Offset}
+	next.Whole = checkpoint.Whole
+	if checkpoint.Whole {
+		if err := s.CarryOver(older); err != nil {
+			c.logger.Error("state_refused", "position", s.Position.String(), "error", err)
+			return nil
+		}
+		return next
+	}
+	if have != nil {
 		next.Applied = profile.Join(s, have.Applied)
 	}
-	next.Whole = full.Checkpoint.Whole
 	return next
 }
 
--- a/internal/distribution/handler.go
+++ b/internal/distribution/handler.go
@@ -23,6 +23,7 @@
 // packedState is a compressed full state, kept until the position moves.
 type packedState struct {
 	position profile.Position
+	base     profile.Position // of the nodes that it is for; zero for those that hold nothing
 	data     []byte
 }
 
@@ -52,14 +53,18 @@
 		return peer.PullAnswer{RetryAfterMs: retryAfterMs()}, nil
 	}
 	if r.From == nil {
-		return a.sendFull(p)
+		return a.sendFull(p, profile.Position{})
 	}
 	if r.From.Compare(p.position()) >= 0 {
 		return peer.PullAnswer{Position: p.position()}, nil
 	}
 	records, ok := p.delta(*r.From)
 	if !ok {
-		return a.sendFull(p)
+		base := profile.Position{}
+		if p.Whole && !r.Full {
+			base = *r.From
+		}
+		return a.sendFull(p, base)
 	}
 	answer := peer.PullAnswer{Position: p.position()}
 	for _, rec := range records {
@@ -68,14 +73,14 @@
 	return answer, nil
 }
 
-func (a *Agent) sendFull(p *published) (peer.PullAnswer, error) {
+func (a *Agent) sendFull(p *published, base profile.Position) (peer.PullAnswer, error) {
 	select {
 	case a.transfer <- struct{}{}:
 	default:
 		return peer.PullAnswer{Position: p.position(), RetryAfterMs: retryAfterMs()}, nil
 	}
 	release := func() { <-a.transfer }
-	packed, err := a.pack(p)
+	packed, err := a.pack(p, base)
 	if err != nil {
 		release()
 		return peer.PullAnswer{}, err
@@ -88,15 +93,19 @@
 }
 
 // pack compresses a state once for all nodes that ask at this position.
-func (a *Agent) pack(p *published) (*packedState, error) {
-	if have := a.packed.Load(); have != nil && have.position == p.position() {
+func (a *Agent) pack(p *published, base profile.Position) (*packedState, error) {
+	if have := a.packed.Load(); have != nil && have.position == p.position() && have.base == base {
 		return have, nil
 	}
-	data, err := peer.PackState(fullOf(p))
+	full := fullOf(p)
+	if base != (profile.Position{}) {
+		full.Checkpoint = full.Checkpoint.Since(base)
+	}
+	data, err := peer.PackState(full)
 	if err != nil {
 		return nil, err
 	}
-	packed := &packedState{position: p.position(), data: data}
+	packed := &packedState{position: p.position(), base: base, data: data}
 	a.packed.Store(packed)
 	return packed, nil
 }
--- a/internal/distribution/relay.go
+++ b/internal/distribution/relay.go
@@ -75,6 +75,7 @@
 type puller struct {
 	*Agent
 	notBefore map[string]time.Time // nodes that refused, and until when
+	full      bool                 // the last answer could not be applied
 	remote    time.Time            // since when only another region has been ahead; zero when not
 }
 
@@ -165,7 +166,7 @@
 	defer cancel()
 	var req peer.PullRequest
 	if own, ok := p.Position(); ok {
-		req.From = &own
+		req.From, req.Full = &own, p.full
 	}
 	answer, err := p.Peers.Pull(limited, m, req)
 	if err != nil {
@@ -180,8 +181,10 @@
 	delete(p.notBefore, m.ID)
 	if !p.take(ctx, req, answer) {
 		p.heard.Delete(m.ID)
+		p.full = true
 		return
 	}
+	p.full = false
 	p.heard.Set(m.ID, answer.Position)
 }
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -59,6 +59,9 @@
 // full state.
 type PullRequest struct {
 	From *profile.Position `json:"from,omitempty"`
+	// Full asks for the whole state, after one that left documents out could
+	// not be completed.
+	Full bool `json:"full,omitempty"`
 }
 
 // PullAnswer holds either records, the full state, or a refusal with the time
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -30,7 +30,10 @@
 
 func pack(v any) ([]byte, error) {
 	var buf bytes.Buffer
-	zw := gzip.NewWriter(&buf)
+	zw, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "pack")
+	}
 	if err := json.NewEncoder(zw).Encode(v); err != nil {
 		return nil, errors.Wrap(err, "pack")
 	}
--- a/internal/profile/record.go
+++ b/internal/profile/record.go
@@ -117,6 +117,8 @@
 	// Whole marks the state of a source that keeps whole configurations: a
 	// document that it lacks is gone.
 	Whole bool `json:"whole,omitempty"`
+	// Kept names the documents that Since left out.
+	Kept []Key `json:"kept,omitempty"`
 }
 
 // NoOffset stands before the first offset of a log.
--- a/internal/profile/state.go
+++ b/internal/profile/state.go
@@ -155,21 +155,6 @@
 	return nil
 }
 
-// Resolve parses the documents of the state and takes those over that stand in
-// an older state with the same bytes, so that a change costs what it changes.
-func (s State) Resolve(older State) error {
-	for k, e := range s.Entries {
-		if have, ok := older.Entries[k]; ok && have.doc != nil && bytes.Equal(have.Document, e.Document) {
-			e.doc = have.doc
-		}
-		if err := e.resolve(); err != nil {
-			return err
-		}
-		s.Entries[k] = e
-	}
-	return nil
-}
-
 // Parse returns the document of an entry that is in force. Entries that came
 // through the fold hold it parsed; it is shared and must not be changed.
 func (e Entry) Parse() (Document, error) {
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -85,6 +85,7 @@
 	{"outcomes_not_flushed", "warn", "outcomes of keyed calls could not be written before the end; repeats are told unknown"},
 	{"source_lost", "warn", "the platform's store does not answer; configurations come from neighbours"},
 	{"source_regained", "info", "the platform's store answers again; field failures counts the reads that failed"},
+	{"state_incomplete", "warn", "a neighbour left documents out of a state that the node does not hold; it asks for the whole"},
 	{"state_refused", "error", "a whole configuration could not be read and was refused whole; the old one stays"},
 	{"directory_read_failed", "warn", "announcements of nodes could not be read; the first failure of a row"},
 	{"server_state", "info", "the backend server reported a start, a change of its slots, or that it leaves"},
