--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -130,6 +130,9 @@
 	// Failed means that the server failed the call: no connection, a cut
 	// connection, a time limit, or a 5xx status of the server's own.
 	Failed bool
+	// Shed means that the server itself refused the call. It is no failure,
+	// but a server that sheds much is a worse choice.
+	Shed bool
 	// NotRun means that the call was refused before it ran, or not sent. Its
 	// latency says nothing about the server's work.
 	NotRun bool
--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -322,3 +322,46 @@
 	}
 	assert.Equal(t, b.stats.Prune(start.Add(time.Hour), time.Minute), 3)
 }
+
+// Guards against a server that sheds half of its calls and, since it refuses
+// fast, goes on getting as many as sound ones. Its node's report shows it idle.
+func TestSheddingServerGetsFewCalls(t *testing.T) {
+	b := newTestBalancer()
+	b.stats.cfg.ExactReports = true
+	r := Request{Service: service("west/w1", "west/w1")}
+	b.candidates(start, r.Service)
+	idle := &LoadReport{Slots: 18}
+	for i := range 40 {
+		answer(b, "s0", warm, Result{Latency: 10 * time.Millisecond, NotRun: i%2 == 0, Shed: i%2 == 0, Report: idle})
+		answer(b, "s1", warm, Result{Latency: 15 * time.Millisecond, Report: idle})
+	}
+	got := shares(t, b, warm, r)
+	assert.Assert(t, got["s0"] < 0.1, "%v", got)
+	assert.Assert(t, shares(t, b, warm.Add(10*time.Second), r)["s0"] > 0, "the server is tried again")
+}
+
+// Guards against calls that crowd one server: of two equal ones, the full one
+// by its node's report gets none while the other has room.
+func TestFullServerGetsNoCalls(t *testing.T) {
+	b := newTestBalancer()
+	b.stats.cfg.ExactReports = true
+	r := Request{Service: service("west/w1", "west/w1")}
+	b.candidates(start, r.Service)
+	answer(b, "s0", warm, Result{Latency: 10 * time.Millisecond, Report: &LoadReport{InFlight: 18, Queued: 5, Slots: 18}})
+	answer(b, "s1", warm, Result{Latency: 10 * time.Millisecond, Report: &LoadReport{InFlight: 9, Slots: 18}})
+	assert.Equal(t, shares(t, b, warm, r)["s0"], 0.0)
+}
+
+// Guards against large answers that leave the failure domain over a small
+// difference: bytes are paid for.
+func TestBytesKeepCallsNear(t *testing.T) {
+	b := newTestBalancer()
+	b.local.DomainByteCost = 20 * time.Millisecond
+	r := Request{Service: service("west/w1", "west/w2")}
+	b.candidates(start, r.Service)
+	answer(b, "s0", warm, Result{Latency: 100 * time.Millisecond})
+	answer(b, "s1", warm, Result{Latency: 10 * time.Millisecond})
+	assert.Equal(t, shares(t, b, warm, r)["s1"], 1.0, "a small call goes to the faster server")
+	r.Bytes = 90 << 10
+	assert.Equal(t, shares(t, b, warm, r)["s0"], 1.0, "a large one stays")
+}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -30,6 +30,9 @@
 	reportAt  time.Time
 	sentSince int // calls sent since the report
 
+	badShare float64 // recent share of calls that failed or were shed, fading
+	badAt    time.Time
+
 	steerUntil time.Time // the server asked for no calls until then
 
 	outlier
@@ -75,6 +78,38 @@
 		s.sentSince = 0
 	}
 	s.judge(cfg, now, r)
+	s.noteBad(now, r)
+}
+
+const (
+	// badWeight is the weight of one call in the share of bad ones.
+	badWeight = 1.0 / 10
+	// badFades is the time constant in which the share fades while the server
+	// gets no calls, so that it is tried again.
+	badFades = 3 * time.Second
+	// badCost is how many times longer a server that fails every call is
+	// expected to take, on top of its latency: each such call is sent again.
+	badCost = 6
+)
+
+// noteBad notes whether a call was good. A refusal by the server's node and a
+// cancelled call say nothing.
+func (s *server) noteBad(now time.Time, r Result) {
+	if r.Canceled || r.NotRun && !r.Shed && !r.Failed {
+		return
+	}
+	bad := 0.0
+	if r.Failed || r.Shed {
+		bad = 1
+	}
+	have := s.bad(now)
+	s.badShare = have + badWeight*(bad-have)
+	s.badAt = now
+}
+
+// bad returns the recent share of calls that failed or were shed.
+func (s *server) bad(now time.Time) float64 {
+	return s.badShare * decay(now.Sub(s.badAt), badFades)
 }
 
 func (s *server) leave(now time.Time, latency time.Duration) {
@@ -245,7 +280,7 @@
 // in for the latency of a server that was never measured.
 func (s *server) expected(cfg Config, now time.Time, fallback time.Duration) time.Duration {
 	if cfg.ExactReports && s.report.Slots > 0 {
-		return time.Duration(s.latency(cfg, now, fallback) * crowding(s.occupancy(cfg, now)))
+		return time.Duration(s.latency(cfg, now, fallback) * crowding(s.occupancy(cfg, now)) * (1 + badCost*s.bad(now)))
 	}
 	load := float64(s.inFlight + 1)
 	return time.Duration(s.latency(cfg, now, fallback) * load * s.hint(cfg, now))
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -37,6 +37,9 @@
 	c := &n.calls
 	c.stats = balance.NewStats(balance.Config{ExactReports: true, SpillRatio: spillRatio})
 	c.budgets = retry.NewBudgets()
+	if n.platform.Source != nil {
+		c.budgets = retry.NewSteadyBudgets()
+	}
 	c.latencies = retry.NewLatencies()
 	c.sizes = balance.NewSizes()
 	c.quarantine = quarantine.NewList(quarantine.Config{})
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -317,7 +317,7 @@
 }
 
 func (c *call) result(t *tried) balance.Result {
-	r := balance.Result{Latency: t.elapsed, NotRun: t.outcome() == retry.NotRun}
+	r := balance.Result{Latency: t.elapsed, NotRun: t.outcome() == retry.NotRun, Shed: t.reason() == ReasonShed}
 	if t.answer == nil {
 		r.Failed = c.body.failure() == nil
 		return r
--- a/internal/reference/reference_test.go
+++ b/internal/reference/reference_test.go
@@ -14,7 +14,7 @@
 
 var updatePages = flag.Bool("update-pages", false, "write the tables into the pages")
 
-const operatingPage = "../../docs/OPERATING.md"
+const operatingPage = "../../docs/OPERATIONS.md"
 
 // TestOperatingPageMatchesCode guards against a setting, field, metric or
 // event that the page lacks or describes otherwise than the code.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -15,6 +15,7 @@
 // granted up front.
 type Budgets struct {
 	accounts *shard.Map[account]
+	steady   bool
 }
 
 // token is one retry in millionths. Whole numbers keep ten shares of 0.1
@@ -55,6 +56,14 @@
 	return &Budgets{accounts: shard.NewMap[account](shard.DefaultCount)}
 }
 
+// NewSteadyBudgets returns Budgets that grant the share while a service fails
+// too. They are for nodes that share one agreed bound on retries.
+func NewSteadyBudgets() *Budgets {
+	b := NewBudgets()
+	b.steady = true
+	return b
+}
+
 // Call records that a call was asked for. Attempts after the first are not
 // calls. share is that of the service's policy.
 func (b *Budgets) Call(service string, share float64, now time.Time) {
@@ -62,7 +71,7 @@
 	b.accounts.Update(service, func(a account, ok bool) (account, bool) {
 		a = a.expire(now)
 		a.asks -= asksSmoothed * a.asks
-		if !a.failing() {
+		if b.steady || !a.failing() {
 			a.tokens += max(earned, 0)
 		}
 		return a, true
@@ -79,7 +88,7 @@
 	b.accounts.Update(service, func(a account, ok bool) (account, bool) {
 		a = a.expire(now)
 		a.asks += asksSmoothed * (1 - a.asks)
-		if a.failing() {
+		if !b.steady && a.failing() {
 			a.tokens = min(a.tokens, quietTokens)
 		}
 		if a.tokens >= token {
