Say at the guard why a call was turned away; collect one call's lines with goldcrestctl explain

Lines beyond the rate are dropped before they are formatted and counted; a reader of the output that stops blocks no call (TestStuckOutputBlocksNobody, TestFloodIsBoundedAndCounted).

--- a/cmd/goldcrestctl/main.go
+++ b/cmd/goldcrestctl/main.go
@@ -80,7 +80,7 @@
 		c.newListCommand(), c.newShowCommand(), c.newDiffCommand(), c.newHistoryCommand(),
 		c.newCheckCommand(), c.newVersionCommand(),
 		newStatusCommand(), newWatchCommand(), newDumpCommand(), newDrainCommand(), newQuarantineCommand(),
-		newDevCommand(), newDemoCommand(),
+		newExplainCommand(), newDevCommand(), newDemoCommand(),
 	)
 	return root
 }
--- a/cmd/goldcrestd/main.go
+++ b/cmd/goldcrestd/main.go
@@ -69,7 +69,7 @@
 	defer lines.Close()
 	level := &slog.LevelVar{}
 	level.Set(telemetry.Level(s.Logging))
-	logger := telemetry.NewLeveledLogger(lines, s.Logging, level)
+	logger := telemetry.NewBoundedLogger(lines, s.Logging, level).With("node", s.Node.ID)
 	slog.SetDefault(logger) // net/http reports through the standard logger
 	n, err := newNode(s, logger)
 	if err != nil {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -72,7 +72,7 @@
 	n.guard = proxy.NewGuard(proxy.GuardConfig{
 		Self: self.ID, Service: n.settings.Node.Service, Address: n.settings.BackendServer.Address, Link: c.backend, Peers: c.nodes,
 		Gate: c.gate, Once: c.once, Quarantine: c.quarantine, InFlight: quarantine.NewInFlight(), GuardOf: n.guardOf,
-		News: c.suspects.tell, Downstream: downstream, Dialect: n.platform.Dialect, Reported: n.reported(),
+		News: c.suspects.tell, Downstream: downstream, Dialect: n.platform.Dialect, Reported: n.reported(), Logger: n.logger,
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,6 +157,6 @@
 	n.servePlatform(&g)
 	n.serve(&g, "admin", n.listeners.admin, n.adminHandler())
 	g.Add(func() error { <-ctx.Done(); return nil }, func(error) { cancel() })
-	n.logger.Info("node_started", "node", n.settings.Node.ID, "calls", n.CallsAddress(), "admin", n.AdminAddress())
+	n.logger.Info("node_started", "id", n.settings.Node.ID, "calls", n.CallsAddress(), "admin", n.AdminAddress())
 	return g.Run()
 }
--- a/internal/proxy/guard.go
+++ b/internal/proxy/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -23,9 +24,10 @@
 	Once       *once.Coordinator // nil refuses calls that must run at most once
 	Quarantine *quarantine.List
 	InFlight   *quarantine.InFlight
-	Dialect    Dialect     // headers of the backend server
-	Reported   bool        // the backend server reports its state, see SetServer
-	Downstream *Downstream // tells whether calls of the backend server failed; nil for none
+	Dialect    Dialect      // headers of the backend server
+	Logger     *slog.Logger // one line for each call that is not passed on; nil for none
+	Reported   bool         // the backend server reports its state, see SetServer
+	Downstream *Downstream  // tells whether calls of the backend server failed; nil for none
 	// GuardOf returns the address of the guard of a holder that is alive.
 	GuardOf func(once.Holder) (string, bool)
 	// News takes quarantine entries that other nodes should hear of; nil drops
@@ -55,6 +57,9 @@
 	if cfg.Retention == nil {
 		cfg.Retention = func() time.Duration { return once.DefaultRetention }
 	}
+	if cfg.Logger == nil {
+		cfg.Logger = slog.New(slog.DiscardHandler)
+	}
 	if cfg.GuardOf == nil {
 		cfg.GuardOf = func(once.Holder) (string, bool) { return "", false }
 	}
@@ -136,6 +141,7 @@
 // fail answers with an outcome of the guard's own.
 func (v *visit) fail(f *Failure) {
 	v.early.stop()
+	v.logRefusal(f)
 	v.tag(v.w.Header())
 	f.write(v.w, &ownDialect)
 }
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -61,7 +61,7 @@
 
 // Events lists every log event at level info and above.
 var Events = []Event{
-	{"node_started", "info", "the node listens; fields node, calls, admin"},
+	{"node_started", "info", "the node listens; fields id, calls, admin"},
 	{"generation_installed", "info", "a new generation is in force; fields generation, position, routes, held_back"},
 	{"generation_refused", "error", "a generation failed its checks and was dropped whole; the old one stays"},
 	{"log_read_failed", "warn", "the platform's log did not answer; the node goes on with what it has"},
@@ -94,6 +94,7 @@
 	{"call_refused", "info", "a call was refused as not run; fields call, route, service, reason, retry_after_ms, tries, refusals, elapsed_ms"},
 	{"call_failed", "warn", "a call ended without an answer of a backend server and may have run; fields as for call_refused"},
 	{"call_cut", "warn", "an answer could not be passed on whole; fields as for call_refused"},
+	{"call_turned_away", "info", "the node beside a backend server did not pass a call to it; fields call, route, reason, in_use, queued, slots, wait_ms, left_ms, patience_ms"},
 	{"attempt_failed", "info", "a sending of a call failed or was refused; fields call, server, reason, outcome, elapsed_ms, again"},
 	{"settings_reloaded", "info", "the settings file changed; fields sections names what differs, applied whether the node acts on it before its next start"},
 	{"settings_refused", "warn", "the changed settings file has findings; the node keeps the settings that it has"},
--- a/internal/telemetry/asynclog.go
+++ b/internal/telemetry/linewriter.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/settings"
 )
 
 // Bounds of the log. Writing costs processor time that calls need, and a
@@ -44,12 +46,18 @@
 	return w
 }
 
+// admit reports whether one more line is within the rate, and counts it as
+// dropped when it is not.
+func (w *LineWriter) admit() bool {
+	if w.limit.Allow() {
+		return true
+	}
+	w.dropped.Add(1)
+	return false
+}
+
 // Write implements io.Writer for whole lines.
 func (w *LineWriter) Write(line []byte) (int, error) {
-	if !w.limit.Allow() {
-		w.dropped.Add(1)
-		return len(line), nil
-	}
 	select {
 	case w.lines <- bytes.Clone(line):
 	default:
@@ -58,9 +66,6 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines have been left out and not reported yet.
-func (w *LineWriter) Dropped() int64 { return w.dropped.Load() }
-
 // Close writes the lines that wait and ends the writer.
 func (w *LineWriter) Close() {
 	w.closed.Do(func() { close(w.done) })
@@ -105,6 +110,36 @@
 	_, _ = w.out.Write(batch) // there is no other place to report it to
 }
 
+// boundedHandler drops lines beyond the rate before they are formatted, since
+// formatting is most of what a line costs.
+type boundedHandler struct {
+	slog.Handler
+	lines *LineWriter
+}
+
+// Handle implements slog.Handler.
+func (h boundedHandler) Handle(ctx context.Context, r slog.Record) error {
+	if !h.lines.admit() {
+		return nil // counted, and reported with the next line that is written
+	}
+	return h.Handler.Handle(ctx, r)
+}
+
+// WithAttrs implements slog.Handler.
+func (h boundedHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return boundedHandler{Handler: h.Handler.WithAttrs(attrs), lines: h.lines}
+}
+
+// WithGroup implements slog.Handler.
+func (h boundedHandler) WithGroup(name string) slog.Handler {
+	return boundedHandler{Handler: h.Handler.WithGroup(name), lines: h.lines}
+}
+
+// NewBoundedLogger returns a logger whose lines leave through a LineWriter.
+func NewBoundedLogger(lines *LineWriter, s settings.Logging, level slog.Leveler) *slog.Logger {
+	return slog.New(boundedHandler{Handler: NewLeveledLogger(lines, s, level).Handler(), lines: lines})
+}
+
 func (w *LineWriter) droppedLine(n int64) []byte {
 	var line bytes.Buffer
 	r := slog.NewRecord(time.Now(), slog.LevelWarn, "log_lines_dropped", 0)
