Start from the store at once, drain without closing under a call, greet the gone

Change: a node is ready with the newest configuration of the store and looks for peers meanwhile; the source is asked again within 0.6 s; members that are gone are greeted now and then; the server's leaving travels by itself; a drain says Connection: close and closes connections once no call is in flight; a server that does not answer is left for four times as long as it cost.

--- a/cmd/goldcrestd/main.go
+++ b/cmd/goldcrestd/main.go
@@ -2,8 +2,10 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"log"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -70,7 +72,8 @@
 	level := &slog.LevelVar{}
 	level.Set(telemetry.Level(s.Logging))
 	logger := telemetry.NewBoundedLogger(lines, s.Logging, level).With("node", s.Node.ID)
-	slog.SetDefault(logger) // net/http reports through the standard logger
+	log.SetFlags(0)
+	log.SetOutput(libraryLog{logger}) // net/http reports through the standard logger
 	n, err := newNode(s, logger)
 	if err != nil {
 		return err
@@ -85,6 +88,15 @@
 	return g.Run()
 }
 
+// libraryLog passes lines of libraries on to the log.
+type libraryLog struct{ logger *slog.Logger }
+
+// Write implements io.Writer for whole lines.
+func (l libraryLog) Write(line []byte) (int, error) {
+	l.logger.Info("http_library", "text", string(bytes.TrimSpace(line)))
+	return len(line), nil
+}
+
 // newNode returns a node on the platform that the settings name.
 func newNode(s settings.Settings, logger *slog.Logger) (*node.Node, error) {
 	if s.Platform.Store == "" {
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -173,12 +173,17 @@
 	return math.Exp(-float64(age) / float64(constant))
 }
 
+// steerLatencies is how many times as long as a failed attempt took calls are
+// kept from its server: one that refuses at once costs little to try again, one
+// that does not answer costs each call its time limit.
+const steerLatencies = 4
+
 // steer keeps calls away from a server that asked for it or that could not be
 // reached. Other refusals are about the request and say nothing of the server.
 func (s *server) steer(cfg Config, now time.Time, r Result) {
 	wait := r.RetryAfter
 	if wait <= 0 && r.Failed {
-		wait = cfg.SteerAway
+		wait = max(cfg.SteerAway, steerLatencies*r.Latency)
 	}
 	if !r.NotRun || wait <= 0 {
 		return
--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -4,6 +4,7 @@
 package distribution
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -43,6 +44,9 @@
 	// Directory is where nodes find each other; nil takes the log's members
 	// stream.
 	Directory Directory
+	// StartSpread is the jitter of the first reads and of the first
+	// announcement; 0 takes the default.
+	StartSpread time.Duration
 	// HeardSelf is told entries about the own node that come from others; nil
 	// for nobody.
 	HeardSelf func(membership.Member)
@@ -101,6 +105,7 @@
 		found:     make(chan struct{}),
 		readyDone: make(chan struct{}), unanchored: make(chan struct{}, 1),
 	}
+	a.StartSpread = cmp.Or(a.StartSpread, startSpread)
 	if a.Directory == nil {
 		a.Directory = &logDirectory{log: cfg.Log, logger: cfg.Logger}
 	}
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -10,16 +10,16 @@
 )
 
 const (
-	// announceSpread is the jitter of the first announcement: a whole failure
-	// domain then appends under 100 records a second.
-	announceSpread = 2 * time.Second
+	// announceSpreads is the jitter of the first announcement, in start
+	// spreads: a whole failure domain then appends under 100 records a second.
+	announceSpreads = 2
 	// announceEvery keeps an announcement within reach of starting nodes.
 	announceEvery = 10 * time.Minute
 )
 
 // announceSelf announces the own entry at start and from time to time.
 func (a *Agent) announceSelf(ctx context.Context) error {
-	if !wait.For(ctx, rand.N(announceSpread)) {
+	if !wait.For(ctx, rand.N(announceSpreads*a.StartSpread)) {
 		return nil
 	}
 	for {
--- a/internal/distribution/membershiploop.go
+++ b/internal/distribution/membershiploop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
@@ -39,6 +40,7 @@
 		a.beat(ctx)
 		a.checkSilence(ctx, now)
 		a.settleDeaths(now)
+		a.reprobe(ctx)
 		if now.Sub(compacted) >= compactEvery {
 			a.Table.Compact(now)
 			compacted = now
@@ -46,6 +48,33 @@
 	}
 }
 
+// reprobes is how many times in each heartbeat interval all nodes together look
+// whether a member that is gone is back. A restarted node that reaches neither
+// the log nor a seed knows nobody and waits to be greeted.
+const reprobes = 2
+
+// reprobe greets a random member that is gone, now and then.
+func (a *Agent) reprobe(ctx context.Context) {
+	var gone []membership.Member
+	all := a.Table.All()
+	for _, m := range all {
+		if m.ID != a.Self.ID && (m.Status == membership.StatusDead || m.Status == membership.StatusLeft) {
+			gone = append(gone, m)
+		}
+	}
+	if len(gone) == 0 || rand.IntN(len(all)) >= reprobes*len(gone) {
+		return
+	}
+	m := gone[rand.IntN(len(gone))]
+	a.once("reprobe", m.ID, func() {
+		ctx, cancel := context.WithTimeout(ctx, sendLimit)
+		defer cancel()
+		if answer, err := a.Peers.Probe(ctx, m, false); err == nil {
+			a.greeted(answer)
+		}
+	})
+}
+
 // renewTopology computes the node's links and the readers anew.
 func (a *Agent) renewTopology() {
 	t := membership.NewTopology(a.self(), a.Table.All())
--- a/internal/distribution/source.go
+++ b/internal/distribution/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
@@ -28,6 +29,9 @@
 	// sourceRetry is the time between the reads of a member that the source
 	// does not answer and that is no reader any more.
 	sourceRetry = 2 * time.Second
+	// sourceBackoff bounds the random wait after a failed read. What the
+	// operator wrote meanwhile is due soon after the store is back.
+	sourceBackoff = 600 * time.Millisecond
 )
 
 // follower reads a Source while the node is a reader of its region. One
@@ -50,7 +54,7 @@
 			continue
 		}
 		f.failed(err)
-		if !wait.For(ctx, wait.FullJitter(f.failures)) {
+		if !wait.For(ctx, min(wait.FullJitter(f.failures), rand.N(sourceBackoff))) {
 			return nil
 		}
 	}
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
 	"github.com/goldcrestshed/goldcrestshed/internal/peer"
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
@@ -39,7 +41,7 @@
 // start applies the start rule: the node serves only once it holds what the
 // log held, or, when the log does not answer, what its peers hold.
 func (a *Agent) start(ctx context.Context) error {
-	if !wait.For(ctx, rand.N(startSpread)) {
+	if !wait.For(ctx, rand.N(a.StartSpread)) {
 		return nil
 	}
 	for attempt := 1; !a.startOnce(ctx); attempt++ {
@@ -57,13 +59,42 @@
 
 // startOnce looks for a target and reports whether the node reached it.
 func (a *Agent) startOnce(ctx context.Context) bool {
+	if a.startFromSource(ctx) {
+		return true
+	}
 	a.findPeers(ctx)
+	a.peersFound()
+	t, ok := a.startTarget(ctx)
+	return ok && a.reach(ctx, t) || ctx.Err() != nil
+}
+
+// peersFound lets the readers begin.
+func (a *Agent) peersFound() {
 	a.foundOnce.Do(func() {
 		a.renewTopology() // alone in its table the node would read the log
 		close(a.found)
 	})
-	t, ok := a.startTarget(ctx)
-	return ok && a.reach(ctx, t) || ctx.Err() != nil
+}
+
+// startFromSource reads the newest configuration of the source, which no peer
+// can have passed. Peers are looked for meanwhile: those that died at the same
+// time must not hold the start up.
+func (a *Agent) startFromSource(ctx context.Context) bool {
+	if a.Source == nil {
+		return false
+	}
+	a.once("peers", a.Self.ID, func() {
+		a.findPeers(ctx)
+		a.peersFound()
+	})
+	limited, cancel := context.WithTimeout(ctx, startLogLimit)
+	defer cancel()
+	if err := a.readSource(limited, 0); err != nil {
+		a.Logger.Warn("source_unread", "error", err)
+		return false
+	}
+	_, ok := a.Position()
+	return ok
 }
 
 // findPeers fills the table of a node that knows nobody.
@@ -75,6 +106,8 @@
 	defer cancel()
 	if err := a.readPeers(limited); err != nil {
 		a.Logger.Warn("announcements_unread", "error", err)
+	} else if a.Source != nil {
+		a.peersFound()
 	}
 	if len(a.others()) == 0 {
 		a.askSeeds(ctx)
@@ -155,14 +188,14 @@
 	return t, err == nil || answered
 }
 
-// sourceTarget sets the target to the newest configuration of the source.
+// errSourceUnread marks a start whose source was asked before and did not
+// answer.
+var errSourceUnread = errors.New("the source was not read")
+
+// sourceTarget sets the target to the end of the log.
 func (a *Agent) sourceTarget(ctx context.Context, t *target) error {
 	if a.Source != nil {
-		err := a.readSource(ctx, 0)
-		if p, ok := a.Position(); err == nil && ok {
-			t.offset = p.Offset
-		}
-		return err
+		return errSourceUnread
 	}
 	_, next, err := streamEnds(ctx, a.Log, platformlog.StreamConfig)
 	if err == nil {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -42,6 +42,9 @@
 	ServerID     string `json:"serverId,omitempty"`     // id of the backend server's present start
 	ServerBorn   int64  `json:"serverBorn,omitempty"`   // its start, Unix time in ns
 	ServerReport int64  `json:"serverReport,omitempty"` // number of the newest report
+	// ServerLeaving says that the backend server leaves. The status also tells
+	// a node that drains itself beside a server that stays.
+	ServerLeaving bool `json:"serverLeaving,omitempty"`
 	// SourceLost says that the platform's store does not answer the member,
 	// so that it cannot read for its region.
 	SourceLost bool `json:"sourceLost,omitempty"`
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -12,12 +12,17 @@
 
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
 const (
 	// drainNotice is how long a draining node goes on answering, so that the
 	// word reaches the other nodes before its listeners close.
 	drainNotice = 2 * time.Second
+	// guardNotice is how long the guard of a node on a platform goes on taking
+	// calls: the front has to serve its callers until they have moved on, and
+	// the backend server has not said that it leaves.
+	guardNotice = 800 * time.Millisecond
 	// shutdownLimit bounds the end of a node that was stopped and not drained.
 	shutdownLimit = 5 * time.Second
 	// announceLimit bounds the announcement of a departure when the log does
@@ -95,27 +100,29 @@
 		return nil
 	case <-n.draining:
 	}
-	n.guard.Drain()
 	n.logger.Info("drain_started", "limit", n.settings.Drain.Limit.D())
+	if n.platform.Source != nil && !wait.For(ctx, guardNotice) {
+		return nil
+	}
+	n.guard.Drain()
 	announced := make(chan struct{})
 	go func() {
 		defer close(announced)
 		n.announceStatus(ctx, membership.StatusDraining)
 	}()
 	defer func() { <-announced }()
-	n.callsServer.SetKeepAlivesEnabled(false) // answers say Connection: close, so callers move on
-	notice := time.NewTimer(drainNotice)
-	defer notice.Stop()
-	select {
-	case <-notice.C:
-	case <-ctx.Done():
+	if !wait.For(ctx, drainNotice) {
 		return nil
 	}
 	n.endWork(ctx)
 	if n.platform.Source == nil {
 		n.flushCalls(ctx)
 	}
-	n.announceStatus(ctx, membership.StatusLeft)
+	if n.platform.Source == nil {
+		// On a platform a node may start again within seconds. Its neighbours
+		// greet it then, unless they took it for gone.
+		n.announceStatus(ctx, membership.StatusLeft)
+	}
 	n.logger.Info("drain_ended")
 	return nil
 }
@@ -127,12 +134,47 @@
 		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
+	var closing sync.WaitGroup
 	for _, srv := range n.servers.list() {
-		if err := srv.Shutdown(ctx); err != nil {
-			n.logger.Warn("drain_cut", "error", err)
-			_ = srv.Close()
-		}
+		closing.Go(func() { n.shutDown(ctx, srv) })
 	}
+	closing.Wait()
+}
+
+// answerGrace is left to answers that have been handed to the HTTP library to
+// leave the process.
+const answerGrace = 200 * time.Millisecond
+
+// shutDown closes a server's listener, waits for the calls in flight, and then
+// closes its connections. Connections on which no call ever came would hold
+// http.Server.Shutdown up for seconds.
+func (n *Node) shutDown(ctx context.Context, srv *http.Server) {
+	done := make(chan error, 1)
+	go func() { done <- srv.Shutdown(ctx) }()
+	if err := errors.CombineErrors(n.front.Wait(ctx), n.guard.Wait(ctx)); err != nil {
+		n.logger.Warn("drain_cut", "error", err)
+	}
+	timer := time.NewTimer(answerGrace)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return
+	case <-timer.C:
+	}
+	_ = srv.Close()
+	<-done
+}
+
+// closing makes answers say Connection: close while the node drains, so that
+// callers move on. Closing idle connections instead would cut calls that
+// arrive at the same moment.
+func (n *Node) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.Draining() && r.ProtoMajor == 1 {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // announceStatus tells the other nodes. The guard refuses new work by itself,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,27 +25,26 @@
 
 // Node is one running node.
 type Node struct {
-	settings    settings.Settings
-	platform    Platform
-	tracker     *serverstate.Tracker // of the backend server, where it reports
-	logger      *slog.Logger
-	dump        *telemetry.Dumper
-	metrics     *telemetry.Metrics
-	holder      *snapshot.Holder
-	table       *membership.Table
-	agent       *distribution.Agent
-	peers       peers
-	front       *proxy.Front
-	guard       *proxy.Guard
-	calls       calls
-	backendUp   atomic.Bool // as of the last probe
-	listeners   listeners
-	callsServer *http.Server
-	servers     servers       // of calls and guard; the admin server outlives a drain
-	draining    chan struct{} // closed by the first Drain
-	drainOnce   sync.Once
-	stopped     chan struct{} // closed when the node ends
-	stopOnce    sync.Once
+	settings  settings.Settings
+	platform  Platform
+	tracker   *serverstate.Tracker // of the backend server, where it reports
+	logger    *slog.Logger
+	dump      *telemetry.Dumper
+	metrics   *telemetry.Metrics
+	holder    *snapshot.Holder
+	table     *membership.Table
+	agent     *distribution.Agent
+	peers     peers
+	front     *proxy.Front
+	guard     *proxy.Guard
+	calls     calls
+	backendUp atomic.Bool // as of the last probe
+	listeners listeners
+	servers   servers       // of calls and guard; the admin server outlives a drain
+	draining  chan struct{} // closed by the first Drain
+	drainOnce sync.Once
+	stopped   chan struct{} // closed when the node ends
+	stopOnce  sync.Once
 }
 
 type listeners struct {
@@ -151,8 +149,7 @@
 	n.addCalls(ctx, &g)
 	n.servePeers(ctx, &g)
 	g.Add(func() error { return n.runDrain(ctx) }, func(error) { cancel() })
-	n.callsServer = n.serve(&g, "calls", n.listeners.calls, proxy.Observe(n.front, n.recorder("front")))
-	n.servers.add(n.callsServer)
+	n.servers.add(n.serve(&g, "calls", n.listeners.calls, n.closing(proxy.Observe(n.front, n.recorder("front")))))
 	n.servers.add(n.serve(&g, "guard", n.listeners.guard, proxy.Observe(n.guard, n.recorder("guard"))))
 	n.servePlatform(&g)
 	n.serve(&g, "admin", n.listeners.admin, n.adminHandler())
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -32,6 +32,7 @@
 		Self: self, Log: log, Peers: n.peers.pool, Seeds: n.settings.Peers.Seeds,
 		Table: n.table, Holder: n.holder, Logger: n.logger,
 		Source: n.platform.Source, Directory: n.platform.Directory, HeardSelf: n.heardSelf,
+		StartSpread: n.settings.Platform.StartSpread.D(),
 	})
 	n.peers.server = peer.NewServer(&peerHandler{Agent: n.agent, node: n}, token, &n.peers.bytes)
 }
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -79,6 +80,7 @@
 	self := r.agent.Revise(func(m membership.Member) membership.Member {
 		m.Service, m.Slots = r.settings.Node.Service, report.Slots
 		m.ServerID, m.ServerBorn, m.ServerReport = report.ID, report.Born*int64(time.Millisecond), report.Number
+		m.ServerLeaving = report.Leaving
 		m.Status = membership.StatusAlive
 		if report.Leaving || r.Draining() {
 			m.Status = membership.StatusDraining
@@ -87,6 +89,10 @@
 	})
 	r.logger.Info("server_state", "server", report.ID, "born", report.Born, "number", report.Number, "slots", report.Slots, "leaving", report.Leaving, "departure", report.Departure)
 	if !report.Leaving {
+		if c.Started {
+			n := r.Node
+			go n.announceStart(self)
+		}
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceLeaveLimit)
@@ -96,15 +102,33 @@
 	}
 }
 
+// lastReport returns what an entry tells of the backend server.
+func lastReport(m membership.Member) serverstate.Report {
+	return serverstate.Report{
+		ID: m.ServerID, Born: m.ServerBorn / int64(time.Millisecond), Number: m.ServerReport, Leaving: m.ServerLeaving,
+	}
+}
+
+// announceStartLimit bounds the announcement of a started backend server.
+const announceStartLimit = 2 * time.Second
+
+// announceStart puts the entry with the backend server's service into the
+// directory, so that nodes that start together know whom to call.
+func (n *Node) announceStart(self membership.Member) {
+	time.Sleep(rand.N(n.settings.Platform.StartSpread.D()))
+	ctx, cancel := context.WithTimeout(context.Background(), announceStartLimit)
+	defer cancel()
+	if err := n.agent.Directory.Announce(ctx, self); err != nil {
+		n.logger.Warn("announce_failed", "error", err)
+	}
+}
+
 // heardSelf takes over what others know of an earlier start of the node.
 func (n *Node) heardSelf(m membership.Member) {
 	if m.ServerBorn == 0 {
 		return
 	}
-	n.tracker.Remember(serverstate.Report{
-		ID: m.ServerID, Born: m.ServerBorn / int64(time.Millisecond), Number: m.ServerReport,
-		Leaving: m.Status == membership.StatusDraining,
-	})
+	n.tracker.Remember(lastReport(m))
 }
 
 // servePlatform adds the servers for the platform's calls to the group.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -61,8 +61,9 @@
 	Reports   string `json:"reports" default:"" doc:"address for status reports of the backend server, ip:port"`
 	Readiness string `json:"readiness" default:"" doc:"address for the platform's questions whether the node takes calls, ip:port"`
 
-	RetryBudget   float64 `json:"retryBudget" default:"0.1" min:"0" max:"1" doc:"retries and hedges as a share of calls, for every service"`
-	MemoryLimitMB int     `json:"memoryLimitMB" default:"0" min:"0" max:"1000000" doc:"memory that the process may use, in MB; 0 sets no limit"`
+	RetryBudget   float64        `json:"retryBudget" default:"0.1" min:"0" max:"1" doc:"retries and hedges as a share of calls, for every service"`
+	StartSpread   jsonc.Duration `json:"startSpread" default:"1s" min:"1ms" max:"1m" doc:"jitter of a starting node's first reads of the store, so that its rates bear the restart of a failure domain"`
+	MemoryLimitMB int            `json:"memoryLimitMB" default:"0" min:"0" max:"1000000" doc:"memory that the process may use, in MB; 0 sets no limit"`
 }
 
 // Peers are settings of the inner protocol.
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -83,6 +83,8 @@
 	{"backend_down", "warn", "the backend server refuses connections; calls go to others"},
 	{"backend_up", "info", "the backend server takes connections again and starts cold"},
 	{"outcomes_not_flushed", "warn", "outcomes of keyed calls could not be written before the end; repeats are told unknown"},
+	{"source_unread", "warn", "a starting node could not read the platform's store; it asks its peers"},
+	{"http_library", "info", "a line of the HTTP library, such as bytes that a backend server sent unasked"},
 	{"source_lost", "warn", "the platform's store does not answer; configurations come from neighbours"},
 	{"source_regained", "info", "the platform's store answers again; field failures counts the reads that failed"},
 	{"state_incomplete", "warn", "a neighbour left documents out of a state that the node does not hold; it asks for the whole"},
