--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -30,6 +30,9 @@
 	if c.pass != nil {
 		return 0, false // a suspect must not endanger two servers at once
 	}
+	if c.tries >= c.maxRetries() {
+		return 0, false // the hedge would be one server more than the call may be sent to
+	}
 	if !c.policy.Hedge || !c.idempotent || len(c.service.Endpoints) < 2 || !c.body.complete() {
 		return 0, false
 	}
