Give callers a refusal of the node beside a server as a refusal

The guard refuses a call without enough time with 504 and the outcome "not run"; the front passed that status on, and callers on the platform read the outcome from the status alone.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -192,6 +192,10 @@
 		c.fail(c.failureOf(t))
 		return
 	}
+	if refusal := c.refusalBelow(t); refusal != nil {
+		c.fail(refusal)
+		return
+	}
 	defer t.answer.Close()
 	if c.front.cfg.Dialect.WholeAnswer {
 		t.answer.until = c.deadline.Add(lateAnswerLimit)
@@ -230,6 +234,19 @@
 	return &tried{failure: f, exhausted: t.exhausted}
 }
 
+// refusalBelow returns the refusal of the node beside a backend server in the
+// words of the callers' dialect, or nil when the answer is to be passed on.
+// Where callers read "not run" from the status, the node's own would hide it.
+func (c *call) refusalBelow(t *tried) *Failure {
+	if c.front.cfg.Dialect.RefusalStatus == 0 || t.outcome() != retry.NotRun {
+		return nil
+	}
+	reason, after := t.reason(), retryAfterOf(t.answer.Header)
+	status := t.status()
+	t.answer.discard()
+	return notRun(status, reason, "the node beside the backend server did not pass the call on").later(after)
+}
+
 // unpromised replaces an answer of a backend server that ran the call when
 // callers would take its status for a promise that the call was not run.
 func (c *call) unpromised(t *tried) *tried {
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -87,7 +87,7 @@
 	m := f.cfg.Holder.Lookup(hostOf(r), r.Method, r.URL.Path)
 	switch {
 	case m.Generation == 0:
-		return nil, notRun(http.StatusServiceUnavailable, ReasonNotReady, "the node has no configuration yet")
+		return nil, notRun(http.StatusServiceUnavailable, ReasonNotReady, "the node has no configuration yet").later(notReadyRetryAfter)
 	case m.Route == nil:
 		return nil, notRun(http.StatusNotFound, ReasonNoRoute, "no route matches")
 	case m.HeldBack:
@@ -96,6 +96,10 @@
 	return m.Route, nil
 }
 
+// notReadyRetryAfter is about the time in which a starting node gets its
+// configuration.
+const notReadyRetryAfter = 300 * time.Millisecond
+
 func hostOf(r *http.Request) string {
 	host := r.Host
 	if h, _, err := net.SplitHostPort(host); err == nil {
@@ -112,7 +116,7 @@
 	}
 	service := route.Choose(rand.Uint64())
 	if len(service.Endpoints) == 0 {
-		return nil, notRun(http.StatusServiceUnavailable, ReasonNoBackend, "the service has no backend server")
+		return nil, notRun(http.StatusServiceUnavailable, ReasonNoBackend, "the service has no backend server").later(notReadyRetryAfter)
 	}
 	now := time.Now()
 	c := &call{
