Leave a node that does not answer a pull while another one is ahead too

Two nodes lost their power right after the change.

Change: a pull ends after 0.6 s while another node is known to be ahead. TestPullLeavesDeadNodes fails without it (6 s) and passes with it.

--- a/internal/distribution/relay.go
+++ b/internal/distribution/relay.go
@@ -17,6 +17,9 @@
 	// pullLimit bounds one pull. A full state takes 0.3 s per MB on the link
 	// between regions.
 	pullLimit = 3 * time.Second
+	// pullPatience bounds a pull while another node is known to be ahead too.
+	// A node that has just lost its power must not hold a change up.
+	pullPatience = 600 * time.Millisecond
 	// sendLimit bounds a notification, the opening of a connection included.
 	sendLimit = 2 * time.Second
 )
@@ -162,7 +165,11 @@
 
 // pull gets from one node what lies after the own position.
 func (p *puller) pull(ctx context.Context, m membership.Member) {
-	limited, cancel := context.WithTimeout(ctx, pullLimit)
+	limit := pullLimit
+	if len(p.ahead()) > 1 {
+		limit = pullPatience
+	}
+	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var req peer.PullRequest
 	if own, ok := p.Position(); ok {
