--- a/internal/reference/proofs_test.go
+++ b/internal/reference/proofs_test.go
@@ -11,6 +11,9 @@
 
 var proofName = regexp.MustCompile("`([a-z0-9]+)\\.((?:Test|Fuzz)[A-Za-z0-9_]+)`")
 
+// outside are the packages that do not lie in internal/.
+var outside = map[string]string{"ctl": "../../cmd/goldcrestctl", "platform": "../../platform", "soak": "../../platform/soak"}
+
 // TestProofsExist guards against a proof on the page that no test gives.
 func TestProofsExist(t *testing.T) {
 	page, err := os.ReadFile("../../docs/PROOFS.md")
@@ -18,9 +21,9 @@
 	proofs := proofName.FindAllStringSubmatch(string(page), -1)
 	assert.Assert(t, len(proofs) > 0)
 	for _, p := range proofs {
-		dir := filepath.Join("..", p[1])
-		if p[1] == "ctl" {
-			dir = "../../cmd/goldcrestctl"
+		dir, ok := outside[p[1]]
+		if !ok {
+			dir = filepath.Join("..", p[1])
 		}
 		assert.Check(t, hasTest(t, dir, p[2]), "%s.%s does not exist", p[1], p[2])
 	}
