--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -165,7 +165,6 @@
 }
 
 func (n *Node) pruneCalls(now time.Time) {
-	n.applyPolicy()
 	n.followPolicy()
 	n.calls.once.Tick(now)
 	n.calls.stats.Prune(now, unusedAfter)
@@ -220,15 +219,3 @@
 	n.dump.Register("claims", func() any { return n.calls.claims.views() })
 	n.dump.Register("quarantine", func() any { return n.calls.quarantine.Entries(time.Now()) })
 }
-
-// applyPolicy gives the gate the limits of the profile that the own service
-// runs under.
-func (n *Node) applyPolicy() {
-	g := n.holder.Latest()
-	if g == nil {
-		return
-	}
-	if svc, ok := g.Services[n.settings.Node.Service]; ok {
-		n.calls.gate.SetPolicy(admission.Policy{Queue: svc.Policy.Queue, LongShare: svc.Policy.LongShare})
-	}
-}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -116,11 +116,10 @@
 	}
 	n.endWork(ctx)
 	if n.platform.Source == nil {
+		// On a platform there are no keyed calls, and a node may start again
+		// within seconds: its neighbours greet it then, unless they took it
+		// for gone.
 		n.flushCalls(ctx)
-	}
-	if n.platform.Source == nil {
-		// On a platform a node may start again within seconds. Its neighbours
-		// greet it then, unless they took it for gone.
 		n.announceStatus(ctx, membership.StatusLeft)
 	}
 	n.logger.Info("drain_ended")
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -15,7 +15,6 @@
 	Caller      string // service of the instance on which a call began; set by the front
 	Target      string // instance of the backend server that a call is meant for; set by the guard
 	NotExecuted string // in an answer of a backend server that did not run the call
-	Signature   string // proof that an answer comes from a backend server
 	// RefusalStatus is the status of every answer that says that a call was
 	// not run; 0 keeps the status that fits the reason. It is for callers who
 	// read "not run" from the status alone.
