Read the rest of a body after an early answer before its connection closes

Cause: net/http's server interrupts a body read that is under way when a handler returns. A chunked body then fails for good, so the server skips the rest and closes the connection with unread bytes, which resets it. The sender's next write fails, and net/http's Transport reports that write in place of the 403 that had arrived. The interruption also removes the read deadline, so a caller that never sent the rest of a body of known length kept its connection for good.

Ruled out: a failing read of the caller's body and a closing backend server; all failed sendings showed 'broken pipe' or 'connection reset' on a connection of its own, none reused, none cancelled.

Change: the servers for calls accept connections that, after an early answer, half close, read until the caller closes or 1 s is over, and keep the read deadline.

--- a/bench/added.go
+++ b/bench/added.go
@@ -78,7 +78,7 @@
 type addedPath struct {
 	direct, front string
 	client        *http.Client
-	servers       []*http.Server
+	servers       []server
 }
 
 func newAddedPath() (*addedPath, error) {
@@ -100,7 +100,13 @@
 	return p, err
 }
 
-func (p *addedPath) serve(srv *http.Server) (string, error) {
+// server is an HTTP server of the path.
+type server interface {
+	Serve(net.Listener) error
+	Close() error
+}
+
+func (p *addedPath) serve(srv server) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", errors.Wrap(err, "listen")
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -33,24 +33,24 @@
 // servers are the HTTP servers of a node.
 type servers struct {
 	mu  sync.Mutex
-	all []*http.Server // guarded by mu
+	all []*proxy.Server // guarded by mu
 }
 
-func (s *servers) add(srv *http.Server) {
+func (s *servers) add(srv *proxy.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.all = append(s.all, srv)
 }
 
-func (s *servers) list() []*http.Server {
+func (s *servers) list() []*proxy.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]*http.Server(nil), s.all...)
+	return append([]*proxy.Server(nil), s.all...)
 }
 
 // serve adds an HTTP server to the group. Stopping the group ends it within
 // shutdownLimit; a drain has shut it down before.
-func (n *Node) serve(g *run.Group, name string, ln net.Listener, h http.Handler) *http.Server {
+func (n *Node) serve(g *run.Group, name string, ln net.Listener, h http.Handler) *proxy.Server {
 	srv := proxy.NewServer(h)
 	g.Add(func() error {
 		err := srv.Serve(ln)
@@ -147,7 +147,7 @@
 // shutDown closes a server's listener, waits for the calls in flight, and then
 // closes its connections. Connections on which no call ever came would hold
 // http.Server.Shutdown up for seconds.
-func (n *Node) shutDown(ctx context.Context, srv *http.Server) {
+func (n *Node) shutDown(ctx context.Context, srv *proxy.Server) {
 	done := make(chan error, 1)
 	go func() { done <- srv.Shutdown(ctx) }()
 	if err := errors.CombineErrors(n.front.Wait(ctx), n.guard.Wait(ctx)); err != nil {
--- a/internal/proxy/chaos_test.go
+++ b/internal/proxy/chaos_test.go
@@ -66,7 +66,7 @@
 		case 4:
 			w.net.kill("guard-" + id)
 			time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
-			w.serve("guard-"+id, NewServer(w.nodes[id].guard))
+			w.serve("guard-"+id, &NewServer(w.nodes[id].guard).Server)
 		case 5:
 			w.net.kill("backend-" + id)
 			time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -33,7 +33,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	srv := NewServer(h)
-	failOnPanic(t, srv)
+	failOnPanic(t, &srv.Server)
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	return ln.Addr().String()
--- a/internal/proxy/http_test.go
+++ b/internal/proxy/http_test.go
@@ -388,3 +388,51 @@
 		})
 	}
 }
+
+// TestRestOfBodyAfterEarlyAnswer guards against a connection that is reset
+// while the caller still sends the body of a call that is answered already:
+// the reset can reach the caller before it has read the answer.
+func TestRestOfBodyAfterEarlyAnswer(t *testing.T) {
+	address := newPath(t, scripted(t, func(c net.Conn, r *bufio.Reader, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		_, _ = io.Copy(io.Discard, r)
+	}))
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: "+testHost+"\r\nTransfer-Encoding: chunked\r\n\r\n4\r\naaaa\r\n")
+	assert.NilError(t, err)
+	time.Sleep(5 * streamPrefixWait) // the answer arrives and is not read
+	for range 5 {
+		_, err = io.WriteString(conn, "4\r\nbbbb\r\n")
+		assert.NilError(t, err)
+		time.Sleep(streamPrefixWait)
+	}
+	_, err = io.WriteString(conn, "0\r\n\r\n")
+	assert.NilError(t, err)
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusForbidden)
+	_, err = io.Copy(io.Discard, conn)
+	assert.NilError(t, err)
+}
+
+// TestCallerWhoNeverSendsTheRest guards against connections that stay open
+// for good after an early answer.
+func TestCallerWhoNeverSendsTheRest(t *testing.T) {
+	address := newPath(t, scripted(t, func(c net.Conn, r *bufio.Reader, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		_, _ = io.Copy(io.Discard, r)
+	}))
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: "+testHost+"\r\nContent-Length: 100000\r\n\r\naaaa")
+	assert.NilError(t, err)
+	_ = conn.SetReadDeadline(time.Now().Add(10 * unreadBodyWait))
+	answer, err := io.ReadAll(conn) // until the node closes
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 403"))
+}
--- a/internal/proxy/network_test.go
+++ b/internal/proxy/network_test.go
@@ -183,7 +183,7 @@
 	}
 	w.front = frontOf(guards, edit, newList())
 	w.front.cfg.Link = w.link(0)
-	w.serve("front", NewServer(w.front))
+	w.serve("front", &NewServer(w.front).Server)
 	tr := &http.Transport{DialContext: w.net.dial, DisableCompression: true}
 	w.client = &http.Client{Transport: tr}
 	t.Cleanup(tr.CloseIdleConnections)
@@ -209,7 +209,7 @@
 		cfg.Link = w.link(110)
 		cfg.Peers = w.link(0)
 	})
-	w.serve("guard-"+id, NewServer(n.guard))
+	w.serve("guard-"+id, &NewServer(n.guard).Server)
 	stop := make(chan struct{})
 	go func() { // the node's tick
 		tick := time.NewTicker(10 * time.Millisecond)
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"net/textproto"
 	"sync"
@@ -185,8 +184,9 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if c, ok := conn.(*callerConn); ok {
+		c.reset()
+		return
 	}
 	_ = conn.Close()
 }
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net"
 	"net/http"
 	"time"
 )
@@ -17,17 +18,23 @@
 	unreadBodyWait = time.Second
 )
 
-// NewServer returns a server over HTTP/1.1 and HTTP/2 without TLS.
-func NewServer(h http.Handler) *http.Server {
-	srv := &http.Server{
+// Server serves calls over HTTP/1.1 and HTTP/2 without TLS.
+type Server struct{ http.Server }
+
+// NewServer returns a Server.
+func NewServer(h http.Handler) *Server {
+	srv := &Server{http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: netHTTPHeaderBytes, Protocols: &http.Protocols{},
-	}
+		MaxHeaderBytes: netHTTPHeaderBytes, Protocols: &http.Protocols{}, ConnContext: withCallerConn,
+	}}
 	srv.Protocols.SetHTTP1(true)
 	srv.Protocols.SetUnencryptedHTTP2(true)
 	return srv
 }
 
+// Serve accepts the connections of callers on ln.
+func (s *Server) Serve(ln net.Listener) error { return s.Server.Serve(callerListener{ln}) }
+
 // beginCall readies the connection of a call.
 func beginCall(w http.ResponseWriter) *http.ResponseController {
 	rc := http.NewResponseController(w)
@@ -37,9 +44,12 @@
 
 // endCall bounds the wait for the rest of a body that nobody reads.
 func endCall(rc *http.ResponseController, r *http.Request) {
-	if r.ContentLength != 0 {
-		_ = rc.SetReadDeadline(time.Now().Add(unreadBodyWait))
+	if r.ContentLength == 0 {
+		return
 	}
+	until := time.Now().Add(unreadBodyWait)
+	callerConnOf(r).endCall(until)
+	_ = rc.SetReadDeadline(until)
 }
 
 // prepare takes a small body whole and readies the connection for a body that
@@ -74,6 +84,7 @@
 func (d *duplexWriter) WriteHeader(status int) {
 	if status >= http.StatusOK && !d.body.ended() {
 		d.Header().Set("Connection", "close")
+		callerConnOf(d.body.in).answeredEarly()
 	}
 	d.ResponseWriter.WriteHeader(status)
 }
