--- a/bench/added.go
+++ b/bench/added.go
@@ -20,6 +20,8 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/jsonc"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/front"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/guard"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
@@ -122,15 +124,16 @@
 	}
 }
 
-func newAddedGuard(backend string) *proxy.Guard {
-	return proxy.NewGuard(proxy.GuardConfig{
-		Self: "b", Address: backend, Link: proxy.NewLink(proxy.LinkConfig{MaxConns: 110}), Peers: proxy.NewLink(proxy.LinkConfig{}),
-		Gate:       admission.NewGate(admission.Config{Slots: addedSlots, Queue: 64}),
-		Quarantine: quarantine.NewList(quarantine.Config{}), InFlight: quarantine.NewInFlight(),
+func newAddedGuard(backend string) *guard.Guard {
+	return guard.New(guard.Config{
+		HopConfig: proxy.HopConfig{Quarantine: quarantine.NewList(quarantine.Config{})},
+		Self:      "b", Address: backend, Link: proxy.NewLink(proxy.LinkConfig{MaxConns: 110}), Peers: proxy.NewLink(proxy.LinkConfig{}),
+		Gate:     admission.NewGate(admission.Config{Slots: addedSlots, Queue: 64}),
+		InFlight: quarantine.NewInFlight(),
 	})
 }
 
-func newAddedFront(guard string) *proxy.Front {
+func newAddedFront(guard string) *front.Front {
 	svc := &snapshot.Service{
 		Name: addedService, Endpoints: []*snapshot.Endpoint{{ID: "b", Incarnation: 1, GuardAddress: guard}},
 		Policy: profile.Policy{Timeout: jsonc.Duration(2 * time.Second), Retries: 1, RetryBudget: 0.1, Hedge: true},
@@ -139,10 +142,11 @@
 	holder := snapshot.NewHolder()
 	holder.Install(&snapshot.Generation{Number: 1, Services: map[string]*snapshot.Service{svc.Name: svc}, Routes: []*snapshot.Route{route}})
 	stats := balance.NewStats(balance.Config{})
-	return proxy.NewFront(proxy.FrontConfig{
-		Holder: holder, Link: proxy.NewLink(proxy.LinkConfig{}), Stats: stats,
+	return front.New(front.Config{
+		HopConfig: proxy.HopConfig{Quarantine: quarantine.NewList(quarantine.Config{})},
+		Holder:    holder, Link: proxy.NewLink(proxy.LinkConfig{}), Stats: stats,
 		Balancer: balance.NewBalancer(stats, balance.Locality{}, rand.Uint64),
-		Budgets:  retry.NewBudgets(), Latencies: retry.NewLatencies(), Quarantine: quarantine.NewList(quarantine.Config{}),
+		Budgets:  retry.NewBudgets(), Latencies: retry.NewLatencies(),
 	})
 }
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -13,6 +13,8 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/once"
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/front"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/guard"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 )
@@ -64,15 +66,19 @@
 		// layers above a failure send.
 		downstream = &proxy.Downstream{}
 	}
-	n.front = proxy.NewFront(proxy.FrontConfig{
-		Holder: n.holder, Link: c.nodes, Balancer: balance.NewBalancer(c.stats, n.locality(self), rand.Uint64), Stats: c.stats,
-		Budgets: c.budgets, Latencies: c.latencies, Sizes: c.sizes, Quarantine: c.quarantine, News: c.suspects.tell,
-		Downstream: downstream, Dialect: n.platform.Dialect, Service: n.settings.Node.Service, Logger: n.logger,
+	hop := proxy.HopConfig{
+		Service: n.settings.Node.Service, Quarantine: c.quarantine, News: c.suspects.tell,
+		Downstream: downstream, Dialect: n.platform.Dialect, Logger: n.logger,
+	}
+	n.front = front.New(front.Config{
+		HopConfig: hop,
+		Holder:    n.holder, Link: c.nodes, Balancer: balance.NewBalancer(c.stats, n.locality(self), rand.Uint64), Stats: c.stats,
+		Budgets: c.budgets, Latencies: c.latencies, Sizes: c.sizes,
 	})
-	n.guard = proxy.NewGuard(proxy.GuardConfig{
-		Self: self.ID, Service: n.settings.Node.Service, Address: n.settings.BackendServer.Address, Link: c.backend, Peers: c.nodes,
-		Gate: c.gate, Once: c.once, Quarantine: c.quarantine, InFlight: quarantine.NewInFlight(), GuardOf: n.guardOf,
-		News: c.suspects.tell, Downstream: downstream, Dialect: n.platform.Dialect, Reported: n.reported(), Logger: n.logger,
+	n.guard = guard.New(guard.Config{
+		HopConfig: hop,
+		Self:      self.ID, Address: n.settings.BackendServer.Address, Link: c.backend, Peers: c.nodes,
+		Gate: c.gate, Once: c.once, InFlight: quarantine.NewInFlight(), GuardOf: n.guardOf, Reported: n.reported(),
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,8 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/front"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/guard"
 	"github.com/goldcrestshed/goldcrestshed/internal/serverstate"
 	"github.com/goldcrestshed/goldcrestshed/internal/settings"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
@@ -35,8 +37,8 @@
 	table     *membership.Table
 	agent     *distribution.Agent
 	peers     peers
-	front     *proxy.Front
-	guard     *proxy.Guard
+	front     *front.Front
+	guard     *guard.Guard
 	calls     calls
 	backendUp atomic.Bool // as of the last probe
 	listeners listeners
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -27,13 +27,13 @@
 	errBodySlow     = errors.New("body was not sent within the time limit")
 )
 
-// keptBody is the body of one call. It is read from the caller once, on
+// Body is the body of one call. It is read from the caller once, on
 // demand, and its beginning is kept up to keepBytes. While it fits, several
 // readers may read it from its start.
 //
 // Reads from the caller run on a goroutine of their own, since net/http's
 // Transport does not return from a cancelled call while it waits for a body.
-type keptBody struct {
+type Body struct {
 	in *http.Request
 
 	mu      sync.Mutex
@@ -46,22 +46,22 @@
 	changed chan struct{} // guarded by mu; closed and replaced when a read from the caller ends
 }
 
-// newKeptBody returns the body of in, or nil when it has none.
-func newKeptBody(in *http.Request) *keptBody {
+// NewBody returns the body of in, or nil when it has none.
+func NewBody(in *http.Request) *Body {
 	if in.Body == nil || in.Body == http.NoBody || in.ContentLength == 0 {
 		return nil
 	}
-	return &keptBody{in: in, changed: make(chan struct{})}
+	return &Body{in: in, changed: make(chan struct{})}
 }
 
 // small reports whether the body can be taken whole before the call is sent.
 // A caller that expects 100 wants to be asked for the body first.
-func (b *keptBody) small() bool {
+func (b *Body) small() bool {
 	return b != nil && b.in.ContentLength > 0 && b.in.ContentLength <= keepBytes && b.in.Header.Get("Expect") == ""
 }
 
 // take reads a small body whole. It runs before any reader exists.
-func (b *keptBody) take(rc *http.ResponseController, deadline time.Time) error {
+func (b *Body) take(rc *http.ResponseController, deadline time.Time) error {
 	_ = rc.SetReadDeadline(deadline)
 	kept := make([]byte, b.in.ContentLength)
 	n, err := io.ReadFull(b.in.Body, kept)
@@ -78,9 +78,9 @@
 	return err
 }
 
-// await reads until the body has ended or keepBytes are kept, at most for the
+// Await reads until the body has ended or keepBytes are kept, at most for the
 // given time. It takes nothing away from readers.
-func (b *keptBody) await(limit time.Duration) {
+func (b *Body) Await(limit time.Duration) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
@@ -102,8 +102,8 @@
 	}
 }
 
-// prefix returns what is kept of the body's beginning.
-func (b *keptBody) prefix() []byte {
+// Prefix returns what is kept of the body's beginning.
+func (b *Body) Prefix() []byte {
 	if b == nil {
 		return nil
 	}
@@ -112,9 +112,9 @@
 	return b.kept
 }
 
-// resendable reports whether another reader could read the body from its
+// Resendable reports whether another reader could read the body from its
 // start.
-func (b *keptBody) resendable() bool {
+func (b *Body) Resendable() bool {
 	if b == nil {
 		return true
 	}
@@ -123,8 +123,8 @@
 	return b.owner == nil && (b.end == nil || b.end == io.EOF)
 }
 
-// complete reports whether the whole body is kept.
-func (b *keptBody) complete() bool {
+// Complete reports whether the whole body is kept.
+func (b *Body) Complete() bool {
 	if b == nil {
 		return true
 	}
@@ -134,14 +134,14 @@
 }
 
 // ended reports whether the caller's body was read to its proper end.
-func (b *keptBody) ended() bool {
+func (b *Body) ended() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.end == io.EOF
 }
 
-// failure returns the error with which the caller's body broke off, or nil.
-func (b *keptBody) failure() error {
+// Err returns the error with which the caller's body broke off, or nil.
+func (b *Body) Err() error {
 	if b == nil {
 		return nil
 	}
@@ -154,7 +154,7 @@
 }
 
 // readOnLocked starts a read from the caller unless one is under way.
-func (b *keptBody) readOnLocked() {
+func (b *Body) readOnLocked() {
 	if b.reading {
 		return
 	}
@@ -162,7 +162,7 @@
 	go b.readPiece()
 }
 
-func (b *keptBody) readPiece() {
+func (b *Body) readPiece() {
 	piece := make([]byte, readBytes)
 	n, err := b.in.Body.Read(piece)
 	b.mu.Lock()
@@ -184,14 +184,14 @@
 
 // reader returns a reader from the body's start. Trailers of the caller are
 // added to trailer when the body ends.
-func (b *keptBody) reader(trailer http.Header) *bodyReader {
+func (b *Body) reader(trailer http.Header) *bodyReader {
 	return &bodyReader{body: b, trailer: trailer, done: make(chan struct{})}
 }
 
 // bodyReader reads a keptBody for one sending of the call. It cannot be
 // rewound, so that net/http's Transport never sends a call twice by itself.
 type bodyReader struct {
-	body    *keptBody
+	body    *Body
 	pos     int // in kept
 	trailer http.Header
 	once    sync.Once
@@ -218,7 +218,7 @@
 	case <-changed:
 		return nil
 	case <-timer.C:
-		return errProgress
+		return ErrProgress
 	case <-r.done:
 		return errBodyClosed
 	}
@@ -271,9 +271,9 @@
 // forSending returns the body for one sending. net/http's Transport writes a
 // body that it knows to be in memory together with the header, and it cannot
 // rewind this one, since the request has no GetBody.
-func (b *keptBody) forSending(out *http.Request) io.ReadCloser {
-	if b.in.ContentLength > 0 && b.complete() {
-		return io.NopCloser(bytes.NewReader(b.prefix()))
+func (b *Body) forSending(out *http.Request) io.ReadCloser {
+	if b.in.ContentLength > 0 && b.Complete() {
+		return io.NopCloser(bytes.NewReader(b.Prefix()))
 	}
 	out.Trailer = make(http.Header, len(b.in.Trailer))
 	for name := range b.in.Trailer {
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -111,10 +111,14 @@
 	return &http.Transport{
 		DialContext: l.open, DisableKeepAlives: fresh, DisableCompression: true,
 		MaxIdleConnsPerHost: maxIdlePerAddress, IdleConnTimeout: l.idleTimeout,
-		ExpectContinueTimeout: time.Second, MaxResponseHeaderBytes: maxHeaderBytes,
+		ExpectContinueTimeout: time.Second, MaxResponseHeaderBytes: MaxHeaderBytes,
 	}
 }
 
+// FreshAfter returns how long a connection may have been idle that a call goes
+// out on that must not be sent twice.
+func (l *Link) FreshAfter() time.Duration { return l.freshAfter }
+
 // Close closes the idle connections.
 func (l *Link) Close() { l.pooled.CloseIdleConnections() }
 
@@ -242,7 +246,7 @@
 // ReadFrom implements io.ReaderFrom with a pooled buffer, since net/http would
 // allocate one for each body.
 func (c *trackedConn) ReadFrom(r io.Reader) (int64, error) {
-	piece := pieces.Get().(*[pieceBytes]byte)
+	piece := pieces.Get().(*[PieceBytes]byte)
 	defer pieces.Put(piece)
 	return io.CopyBuffer(writerOnly{c}, r, piece[:])
 }
@@ -273,8 +277,8 @@
 	return c.Conn.Close()
 }
 
-// refuses reports whether an address refuses a new connection.
-func (l *Link) refuses(ctx context.Context, address string) bool {
+// Refuses reports whether an address refuses a new connection.
+func (l *Link) Refuses(ctx context.Context, address string) bool {
 	conn, err := l.open(ctx, "tcp", address)
 	if err == nil {
 		_ = conn.Close()
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -26,40 +26,43 @@
 	FractionalRetryAfter bool
 }
 
-// deadlineName returns the name of the header with the time left.
-func (d *Dialect) deadlineName() string {
+// OwnDialect is the product's own interface, which nodes speak to one another.
+var OwnDialect Dialect
+
+// DeadlineName returns the name of the header with the time left.
+func (d *Dialect) DeadlineName() string {
 	if d.Deadline == "" {
 		return HeaderDeadlineMs
 	}
 	return d.Deadline
 }
 
-// notExecuted reports whether a backend server says that it did not run a
+// SaysNotRun reports whether a backend server says that it did not run a
 // call.
-func (d *Dialect) notExecuted(a *answer) bool {
+func (d *Dialect) SaysNotRun(a *Answer) bool {
 	if d.NotExecuted == "" {
 		return false
 	}
 	return a.Header.Get(d.NotExecuted) != "" || a.StatusCode == http.StatusMisdirectedRequest
 }
 
-// answers reports whether an answer of a backend server belongs to the call.
+// Matches reports whether an answer of a backend server belongs to the call.
 // A server may send a second answer late, where the next one is expected; the
 // id tells it. Refusals are sent before a server has looked at the id.
-func (d *Dialect) answers(in *http.Request, a *answer) bool {
+func (d *Dialect) Matches(in *http.Request, a *Answer) bool {
 	if d.CallID == "" {
 		return true
 	}
 	id := a.Header.Get(d.CallID)
 	if id == "" {
-		return d.notExecuted(a)
+		return d.SaysNotRun(a)
 	}
 	return id == in.Header.Get(d.CallID)
 }
 
-// promised reports whether callers take a status for a promise that the call
+// PromisesNotRun reports whether callers take a status for a promise that the call
 // was not run.
-func (d *Dialect) promised(status int) bool {
+func (d *Dialect) PromisesNotRun(status int) bool {
 	if d.RefusalStatus == 0 {
 		return false
 	}
@@ -78,7 +81,7 @@
 	switch {
 	case f.Outcome == OutcomeNotRun && f.Status >= http.StatusInternalServerError:
 		f.Status = d.RefusalStatus
-	case f.Outcome != OutcomeNotRun && d.promised(f.Status):
+	case f.Outcome != OutcomeNotRun && d.PromisesNotRun(f.Status):
 		f.Status = http.StatusBadGateway
 	}
 	return f
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -13,16 +13,16 @@
 	lastFailure atomic.Int64 // Unix time in ns
 }
 
-// noteFailure notes that the Front gave a failure now.
-func (d *Downstream) noteFailure(now time.Time) {
+// NoteFailure notes that the Front gave a failure now.
+func (d *Downstream) NoteFailure(now time.Time) {
 	if d != nil {
 		d.lastFailure.Store(now.UnixNano())
 	}
 }
 
-// failedSince reports whether the Front gave a failure after a time. Callers
+// FailedSince reports whether the Front gave a failure after a time. Callers
 // from elsewhere use the Front too, so it may be another call's; then one
 // retry less is made while a service fails.
-func (d *Downstream) failedSince(begun time.Time) bool {
+func (d *Downstream) FailedSince(begun time.Time) bool {
 	return d != nil && d.lastFailure.Load() >= begun.UnixNano()
 }
--- a/internal/proxy/report.go
+++ b/internal/proxy/fields.go
@@ -12,11 +12,11 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
 )
 
-// internalHeaders are of use between nodes only and not given to callers.
-var internalHeaders = []string{HeaderCall, HeaderLoad, HeaderQuarantine}
+// InternalHeaders are of use between nodes only and not given to callers.
+var InternalHeaders = []string{HeaderCall, HeaderLoad, HeaderQuarantine}
 
-// formatLoad writes a load report as "in use,queued,slots".
-func formatLoad(r admission.LoadReport) string {
+// FormatLoad writes a load report as "in use,queued,slots".
+func FormatLoad(r admission.LoadReport) string {
 	b := make([]byte, 0, 16)
 	b = strconv.AppendInt(b, int64(r.InUse), 10)
 	b = strconv.AppendInt(append(b, ','), int64(r.Queued), 10)
@@ -24,8 +24,8 @@
 	return string(b)
 }
 
-// parseLoad reads the form of formatLoad and returns nil for any other text.
-func parseLoad(text string) *balance.LoadReport {
+// ParseLoad reads the form of formatLoad and returns nil for any other text.
+func ParseLoad(text string) *balance.LoadReport {
 	used, rest, ok := strings.Cut(text, ",")
 	queued, slots, ok2 := strings.Cut(rest, ",")
 	if !ok || !ok2 {
@@ -45,8 +45,8 @@
 	return &r
 }
 
-// formatEntries writes news of quarantine for an answer's header.
-func formatEntries(entries []quarantine.Entry) string {
+// FormatEntries writes news of quarantine for an answer's header.
+func FormatEntries(entries []quarantine.Entry) string {
 	text, err := json.Marshal(entries)
 	if err != nil {
 		return ""
@@ -54,7 +54,9 @@
 	return string(text)
 }
 
-func parseEntries(text string) []quarantine.Entry {
+// ParseEntries reads the form of FormatEntries and returns nil for any other
+// text.
+func ParseEntries(text string) []quarantine.Entry {
 	var entries []quarantine.Entry
 	if json.Unmarshal([]byte(text), &entries) != nil {
 		return nil
@@ -62,9 +64,9 @@
 	return entries
 }
 
-// retryAfterOf returns the time after which an answer asks to be tried again,
+// RetryAfterOf returns the time after which an answer asks to be tried again,
 // 0 when it does not say.
-func retryAfterOf(h http.Header) time.Duration {
+func RetryAfterOf(h http.Header) time.Duration {
 	if ms, err := strconv.ParseInt(h.Get(HeaderRetryAfterMs), 10, 64); err == nil && ms > 0 {
 		return time.Duration(ms) * time.Millisecond
 	}
@@ -81,15 +83,15 @@
 	hopMarginPart = 20
 )
 
-// formatDeadline writes the time left for the next hop.
-func formatDeadline(left time.Duration) string {
+// FormatDeadline writes the time left for the next hop.
+func FormatDeadline(left time.Duration) string {
 	left -= min(hopMargin, left/hopMarginPart)
 	return strconv.FormatInt(max(left.Milliseconds(), 1), 10)
 }
 
-// deadlineOf returns the time that a call has left by its header, and false
+// DeadlineOf returns the time that a call has left by its header, and false
 // when the header does not say.
-func deadlineOf(h http.Header, name string) (time.Duration, bool) {
+func DeadlineOf(h http.Header, name string) (time.Duration, bool) {
 	ms, err := strconv.ParseInt(h.Get(name), 10, 64)
 	if err != nil || ms < 0 || ms > maxDeadline.Milliseconds() {
 		return 0, false
@@ -97,9 +99,9 @@
 	return time.Duration(ms) * time.Millisecond, true
 }
 
-// patienceOf returns the longest wait for a slot that a call accepts, 0 when
+// PatienceOf returns the longest wait for a slot that a call accepts, 0 when
 // it sets no bound.
-func patienceOf(h http.Header) time.Duration {
+func PatienceOf(h http.Header) time.Duration {
 	ms, err := strconv.ParseInt(h.Get(HeaderPatienceMs), 10, 32)
 	if err != nil || ms < 0 {
 		return 0
@@ -110,10 +112,11 @@
 // maxDeadline is the longest time that a call may have.
 const maxDeadline = time.Hour
 
-func answerHops(h http.Header) int {
+// AnswerHops returns how many nodes an answer has passed through.
+func AnswerHops(h http.Header) int {
 	n, err := strconv.Atoi(h.Get(HeaderAnswerHops))
 	if err != nil || n < 0 {
 		return 0
 	}
-	return min(n, maxHops)
+	return min(n, MaxHops)
 }
--- a/internal/proxy/try.go
+++ b/internal/proxy/front/attempt.go
@@ -1,4 +1,4 @@
-package proxy
+package front
 
 import (
 	"context"
@@ -12,33 +12,25 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/balance"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
-const retryReasonExhausted = retry.ReasonExhausted
-
-// leastAttempt is the least time in which another attempt can succeed: a
-// connection, two hops and a fast answer.
-const leastAttempt = 5 * time.Millisecond
-
-// Part of the time left after which a connection that had been idle counts as
-// silent. The front waits longer than the guard, so that the guard can mend a
-// silent connection to its backend server first.
-const (
-	frontIdleWait = 2.0 / 3
-	guardIdleWait = 1.0 / 3
-)
+// idleWaitPart is the part of the time left after which a connection that had
+// been idle counts as silent. The front waits longer than the guard, so that
+// the guard can mend a silent connection to its backend server first.
+const idleWaitPart = 2.0 / 3
 
 // tried is the result of one attempt.
 type tried struct {
 	choice    balance.Choice
 	begun     time.Time
 	elapsed   time.Duration // until the first byte or the failure
-	answer    *answer
-	err       *sendError
-	failure   *Failure // when the call went to no server
-	exhausted bool     // a retry would have been right but is not allowed
+	answer    *proxy.Answer
+	err       *proxy.SendError
+	failure   *proxy.Failure // when the call went to no server
+	exhausted bool           // a retry would have been right but is not allowed
 	load      *balance.LoadReport
 }
 
@@ -46,8 +38,8 @@
 func (t *tried) outcome() retry.Outcome {
 	switch {
 	case t.answer != nil:
-		return retry.Outcome(t.answer.Header.Get(HeaderOutcome))
-	case t.err != nil && t.err.sent:
+		return retry.Outcome(t.answer.Header.Get(proxy.HeaderOutcome))
+	case t.err != nil && t.err.Sent:
 		return retry.Unknown
 	}
 	return retry.NotRun
@@ -68,9 +60,9 @@
 func (t *tried) reason() string {
 	switch {
 	case t.answer != nil:
-		return t.answer.Header.Get(HeaderReason)
-	case t.err != nil && !t.err.sent:
-		return ReasonConnect
+		return t.answer.Header.Get(proxy.HeaderReason)
+	case t.err != nil && !t.err.Sent:
+		return proxy.ReasonConnect
 	}
 	return ""
 }
@@ -79,7 +71,7 @@
 func (c *call) tryAll() *tried {
 	var last *tried
 	if c.remaining() <= 0 {
-		return &tried{failure: notRun(http.StatusGatewayTimeout, ReasonDeadline, "no time is left for the call")}
+		return &tried{failure: proxy.NotRun(http.StatusGatewayTimeout, proxy.ReasonDeadline, "no time is left for the call")}
 	}
 	for {
 		choice, err := c.pick(last)
@@ -99,7 +91,7 @@
 
 // again decides whether another server is tried after an attempt.
 func (c *call) again(t *tried) bool {
-	if c.body.failure() != nil {
+	if c.body.Err() != nil {
 		return false // no server can do better with a broken body
 	}
 	d := retry.Decide(c.describe(t))
@@ -146,7 +138,7 @@
 // count notes an attempt that ended. A refusal by the node beside a backend
 // server adds no load there, so it is no try.
 func (c *call) count(t *tried) {
-	if t.outcome() == retry.NotRun && t.reason() != ReasonShed {
+	if t.outcome() == retry.NotRun && t.reason() != proxy.ReasonShed {
 		c.refusals++
 		return
 	}
@@ -164,11 +156,11 @@
 func (c *call) describe(t *tried) retry.Attempt {
 	a := retry.Attempt{
 		Idempotent: c.idempotent, Outcome: t.outcome(), Reason: t.reason(), Status: t.status(),
-		Tries: c.tries, Refusals: c.refusals, MaxRetries: c.maxRetries(), Remaining: c.remaining(), Needed: leastAttempt,
-		Canceled: c.ctx.Err() != nil, BodyLost: !c.body.resendable(),
+		Tries: c.tries, Refusals: c.refusals, MaxRetries: c.maxRetries(), Remaining: c.remaining(), Needed: proxy.LeastAttempt,
+		Canceled: c.ctx.Err() != nil, BodyLost: !c.body.Resendable(),
 	}
 	if t.answer != nil {
-		a.AnswerHops = answerHops(t.answer.Header)
+		a.AnswerHops = proxy.AnswerHops(t.answer.Header)
 	}
 	return a
 }
@@ -185,7 +177,7 @@
 	if err == nil || last == nil || last.outcome() != retry.NotRun || last.answer == nil {
 		return choice, err
 	}
-	after := retryAfterOf(last.answer.Header)
+	after := proxy.RetryAfterOf(last.answer.Header)
 	if after == 0 || after > c.remaining()/2 || !wait.For(c.ctx, after) {
 		return choice, err
 	}
@@ -199,11 +191,11 @@
 		last.exhausted = true
 		return last
 	}
-	reason, message := ReasonNoBackend, "the service has no backend server to send the call to"
+	reason, message := proxy.ReasonNoBackend, "the service has no backend server to send the call to"
 	if errors.Is(err, balance.ErrCrossRegionSpent) {
-		reason, message = ReasonBudget, "only other regions have a backend server and the bound on bytes to them is spent"
+		reason, message = proxy.ReasonBudget, "only other regions have a backend server and the bound on bytes to them is spent"
 	}
-	return &tried{failure: notRun(http.StatusServiceUnavailable, reason, message).later(time.Second)}
+	return &tried{failure: proxy.NotRun(http.StatusServiceUnavailable, reason, message).Later(time.Second)}
 }
 
 // drop closes the answer of an attempt that is not given to the caller.
@@ -212,7 +204,7 @@
 		return
 	}
 	if t.answer != nil {
-		t.answer.discard()
+		t.answer.Discard()
 	}
 	c.finish(t, false)
 }
@@ -223,14 +215,14 @@
 	c.front.cfg.Stats.Begin(choice.Endpoint.ID, t.begun)
 	t.answer, t.err = c.send(ctx, choice, false, early)
 	if c.mayRepeat(t.err) {
-		if t.err.sent {
+		if t.err.Sent {
 			c.mayHaveRun.Store(true)
 		}
 		t.answer, t.err = c.send(ctx, choice, true, early)
 	}
 	t.elapsed = time.Since(t.begun)
 	if t.answer != nil {
-		t.load = parseLoad(t.answer.Header.Get(HeaderLoad))
+		t.load = proxy.ParseLoad(t.answer.Header.Get(proxy.HeaderLoad))
 		c.learn(t.answer.Header)
 	}
 	return t
@@ -238,44 +230,44 @@
 
 // mayRepeat reports whether a call that failed on a connection used before is
 // sent again on a new one, before the server is blamed.
-func (c *call) mayRepeat(err *sendError) bool {
-	if err == nil || !err.reused || err.canceled || c.remaining() < leastAttempt || !c.body.resendable() {
+func (c *call) mayRepeat(err *proxy.SendError) bool {
+	if err == nil || !err.Reused || err.Canceled || c.remaining() < proxy.LeastAttempt || !c.body.Resendable() {
 		return false
 	}
-	return !err.sent || ((c.idempotent || c.once) && c.spend())
+	return !err.Sent || ((c.idempotent || c.once) && c.spend())
 }
 
-func (c *call) send(ctx context.Context, choice balance.Choice, fresh bool, early func(int, textproto.MIMEHeader)) (*answer, *sendError) {
+func (c *call) send(ctx context.Context, choice balance.Choice, fresh bool, early func(int, textproto.MIMEHeader)) (*proxy.Answer, *proxy.SendError) {
 	left := max(c.remaining(), time.Millisecond)
 	header := maps.Clone(c.header)
 	mark := strconv.FormatUint(rand.Uint64(), 36)
-	header[HeaderCall] = []string{mark}
+	header[proxy.HeaderCall] = []string{mark}
 	if patience := c.patience(choice); patience > 0 {
-		header[HeaderPatienceMs] = []string{strconv.FormatInt(patience.Milliseconds(), 10)}
+		header[proxy.HeaderPatienceMs] = []string{strconv.FormatInt(patience.Milliseconds(), 10)}
 	}
-	header[HeaderDeadlineMs] = []string{formatDeadline(left)}
-	s := sending{
-		address: choice.Endpoint.GuardAddress, in: c.r, header: header, body: c.body,
-		wait: left, fresh: fresh, early: early,
+	header[proxy.HeaderDeadlineMs] = []string{proxy.FormatDeadline(left)}
+	s := proxy.Sending{
+		Address: choice.Endpoint.GuardAddress, Request: c.r, Header: header, Body: c.body,
+		Wait: left, Fresh: fresh, Early: early,
 	}
 	if c.idempotent || c.once {
-		s.idleWait = time.Duration(float64(left) * frontIdleWait)
+		s.IdleWait = time.Duration(float64(left) * idleWaitPart)
 	}
-	a, err := c.front.cfg.Link.send(ctx, s)
-	if err == nil && (a.Header.Get(HeaderCall) != mark || a.Header.Get(HeaderOutcome) == "") {
+	a, err := c.front.cfg.Link.Send(ctx, s)
+	if err == nil && (a.Header.Get(proxy.HeaderCall) != mark || a.Header.Get(proxy.HeaderOutcome) == "") {
 		a.Close()
-		return nil, &sendError{cause: errMismatch, sent: true, connected: true}
+		return nil, &proxy.SendError{Cause: proxy.ErrMismatch, Sent: true, Connected: true}
 	}
 	return a, err
 }
 
 // learn takes over what a node says beside its answer.
 func (c *call) learn(h http.Header) {
-	text := h.Get(HeaderQuarantine)
+	text := h.Get(proxy.HeaderQuarantine)
 	if text == "" {
 		return
 	}
-	if news := c.front.cfg.Quarantine.Merge(parseEntries(text), time.Now()); len(news) > 0 {
+	if news := c.front.cfg.Quarantine.Merge(proxy.ParseEntries(text), time.Now()); len(news) > 0 {
 		c.front.cfg.News(news)
 	}
 }
@@ -291,7 +283,7 @@
 	}
 	now := time.Now()
 	r := c.result(t)
-	r.Canceled = lost || (t.err != nil && t.err.canceled)
+	r.Canceled = lost || (t.err != nil && t.err.Canceled)
 	c.front.cfg.Stats.End(t.choice.Endpoint.ID, now, r)
 	if t.outcome() == retry.Ran || lost {
 		c.front.cfg.Latencies.Observe(c.route.ID, t.elapsed, now)
@@ -310,23 +302,23 @@
 // retry-after holds for other calls too.
 func steers(t *tried) bool {
 	switch t.reason() {
-	case ReasonOverloaded, ReasonShed, ReasonDraining, ReasonConnect, ReasonNotReported, ReasonWrongService:
+	case proxy.ReasonOverloaded, proxy.ReasonShed, proxy.ReasonDraining, proxy.ReasonConnect, proxy.ReasonNotReported, proxy.ReasonWrongService:
 		return true
 	}
 	return t.outcome() == retry.Ran && t.status() == http.StatusServiceUnavailable
 }
 
 func (c *call) result(t *tried) balance.Result {
-	r := balance.Result{Latency: t.elapsed, NotRun: t.outcome() == retry.NotRun, Shed: t.reason() == ReasonShed}
+	r := balance.Result{Latency: t.elapsed, NotRun: t.outcome() == retry.NotRun, Shed: t.reason() == proxy.ReasonShed}
 	if t.answer == nil {
-		r.Failed = c.body.failure() == nil
+		r.Failed = c.body.Err() == nil
 		return r
 	}
 	h := t.answer.Header
 	if steers(t) {
-		r.RetryAfter = retryAfterOf(h)
+		r.RetryAfter = proxy.RetryAfterOf(h)
 	}
-	r.Failed = t.status() >= http.StatusInternalServerError && (!r.NotRun || h.Get(HeaderReason) == ReasonConnect)
+	r.Failed = t.status() >= http.StatusInternalServerError && (!r.NotRun || h.Get(proxy.HeaderReason) == proxy.ReasonConnect)
 	r.Report = t.load
 	return r
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/front/call.go
@@ -1,42 +1,20 @@
-package proxy
+package front
 
 import (
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/once"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
 
-// suspectRetryAfter is about the time that a call of a suspect takes.
-const suspectRetryAfter = 100 * time.Millisecond
-
-// Words of HeaderPriority.
-const (
-	priorityCaller     = "caller"
-	priorityBackground = "background"
-)
-
-// Values of HeaderOnce, which are those of the policy.
-const (
-	anyKeys  = "any"
-	uuidKeys = "uuidv7"
-)
-
-func keyForm(p *profile.Policy) string {
-	if p.Keys == anyKeys {
-		return anyKeys
-	}
-	return uuidKeys
-}
-
 // call is one call on its way through a Front.
 type call struct {
 	front      *Front
@@ -50,8 +28,8 @@
 	deadline   time.Time // for the first byte of the answer
 	idempotent bool
 	once       bool // non-idempotent with a key: the guard runs it at most once
-	body       *keptBody
-	early      *earlyHints
+	body       *proxy.Body
+	early      *proxy.EarlyHints
 	header     http.Header // for the guard, but for what differs by sending
 	pass       *quarantine.Pass
 	exclude    []string    // servers not to be tried
@@ -62,14 +40,14 @@
 
 // checkKey refuses a key that could not protect a call that must not run
 // twice.
-func (c *call) checkKey(now time.Time) *Failure {
-	text := c.r.Header.Get(HeaderKeyCaller)
+func (c *call) checkKey(now time.Time) *proxy.Failure {
+	text := c.r.Header.Get(proxy.HeaderKeyCaller)
 	if text == "" || c.idempotent {
 		return nil
 	}
-	rule := once.KeyRule{Any: keyForm(c.policy) == anyKeys, Retention: c.front.cfg.Retention()}
+	rule := once.KeyRule{Any: proxy.KeyForm(c.policy) == proxy.AnyKeys, Retention: c.front.cfg.Retention()}
 	if _, refusal := once.ParseKey(text, rule, now); refusal != nil {
-		return notRun(http.StatusBadRequest, string(refusal.Reason), refusal.Message)
+		return proxy.NotRun(http.StatusBadRequest, string(refusal.Reason), refusal.Message)
 	}
 	c.once = true
 	return nil
@@ -77,8 +55,8 @@
 
 // baseHeader returns the headers for the guard.
 func (c *call) baseHeader(hops int) http.Header {
-	h := requestHeader(c.r)
-	for _, name := range []string{HeaderKey, HeaderPatienceMs, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat, HeaderQuarantine} {
+	h := proxy.RequestHeader(c.r)
+	for _, name := range []string{proxy.HeaderKey, proxy.HeaderPatienceMs, proxy.HeaderOnce, proxy.HeaderHeld, proxy.HeaderCall, proxy.HeaderRepeat, proxy.HeaderQuarantine} {
 		delete(h, name)
 	}
 	d := &c.front.cfg.Dialect
@@ -87,70 +65,70 @@
 	if d.Caller != "" {
 		h[d.Caller] = []string{c.front.cfg.Service}
 	}
-	h[HeaderHops] = []string{strconv.Itoa(hops)}
-	h[HeaderRoute] = []string{c.route.ID}
-	h[HeaderService] = []string{c.service.Name}
-	h[HeaderPriority] = []string{c.priority()}
-	if key, ok := h[HeaderKeyCaller]; ok {
-		delete(h, HeaderKeyCaller)
-		h[HeaderKey] = key
+	h[proxy.HeaderHops] = []string{strconv.Itoa(hops)}
+	h[proxy.HeaderRoute] = []string{c.route.ID}
+	h[proxy.HeaderService] = []string{c.service.Name}
+	h[proxy.HeaderPriority] = []string{c.priority()}
+	if key, ok := h[proxy.HeaderKeyCaller]; ok {
+		delete(h, proxy.HeaderKeyCaller)
+		h[proxy.HeaderKey] = key
 	}
 	if c.idempotent {
-		h[HeaderRepeat] = []string{"1"}
+		h[proxy.HeaderRepeat] = []string{"1"}
 	}
 	if c.once {
-		h[HeaderOnce] = []string{keyForm(c.policy)}
+		h[proxy.HeaderOnce] = []string{proxy.KeyForm(c.policy)}
 	}
 	return h
 }
 
 // priority returns the lower one of the route's and the caller's priority.
 func (c *call) priority() string {
-	if c.route.Priority == priorityBackground || c.r.Header.Get(HeaderPriority) == priorityBackground {
-		return priorityBackground
+	if c.route.Priority == proxy.PriorityBackground || c.r.Header.Get(proxy.HeaderPriority) == proxy.PriorityBackground {
+		return proxy.PriorityBackground
 	}
-	return priorityCaller
+	return proxy.PriorityCaller
 }
 
 // run sends the call until there is an answer to give.
 func (c *call) run(rc *http.ResponseController) {
 	var err error
-	if c.w, err = c.body.prepare(c.w, rc, c.deadline); err != nil {
-		c.fail(failureOf(&sendError{cause: err}, c.body))
+	if c.w, err = c.body.Prepare(c.w, rc, c.deadline); err != nil {
+		c.fail(proxy.FailureOf(&proxy.SendError{Cause: err}, c.body))
 		return
 	}
-	c.early = &earlyHints{w: c.w}
+	c.early = &proxy.EarlyHints{Writer: c.w}
 	if refusal := c.checkQuarantine(); refusal != nil {
 		c.fail(refusal)
 		return
 	}
 	c.front.cfg.Budgets.Call(c.service.Name, c.policy.RetryBudget, c.started)
 	t := c.tryAll()
-	c.early.stop()
+	c.early.Stop()
 	c.give(t)
 }
 
 // checkQuarantine refuses requests that are known to crash servers and keeps
 // suspects from servers that they may have crashed. A body that streams is
 // left to the guard, which sees its beginning in any case.
-func (c *call) checkQuarantine() *Failure {
-	if !c.body.complete() {
+func (c *call) checkQuarantine() *proxy.Failure {
+	if !c.body.Complete() {
 		return nil
 	}
-	fp := fingerprintOf(c.r, c.body.prefix())
+	fp := proxy.FingerprintOf(c.r, c.body.Prefix())
 	list := c.front.cfg.Quarantine
 	verdict := list.Check(fp, c.started)
 	if verdict.State == quarantine.Clear {
 		return nil
 	}
 	pass, admission := list.Send(fp, c.started)
-	if refusal := refusalBy(admission, verdict, c.started); refusal != nil {
+	if refusal := proxy.QuarantineRefusal(admission, verdict, c.started); refusal != nil {
 		return refusal
 	}
 	c.pass = pass
 	if entry, ok := list.Entry(fp); ok {
 		// The node beside the server may not have heard of the suspicion yet.
-		c.header[HeaderQuarantine] = []string{formatEntries([]quarantine.Entry{entry})}
+		c.header[proxy.HeaderQuarantine] = []string{proxy.FormatEntries([]quarantine.Entry{entry})}
 	}
 	if len(verdict.Avoid) < len(c.service.Endpoints) {
 		c.exclude = append(c.exclude, verdict.Avoid...)
@@ -158,23 +136,6 @@
 	return nil
 }
 
-// refusalBy returns the answer to a request that quarantine does not admit.
-func refusalBy(a quarantine.Admission, v quarantine.Verdict, now time.Time) *Failure {
-	switch a {
-	case quarantine.Refused:
-		return notRun(http.StatusServiceUnavailable, ReasonQuarantined, "this request has crashed backend servers").later(v.Until.Sub(now))
-	case quarantine.Busy:
-		return notRun(http.StatusServiceUnavailable, ReasonSuspectBusy, "this request may have crashed a backend server and is being tried").later(suspectRetryAfter)
-	}
-	return nil
-}
-
-// fingerprintOf returns the fingerprint of a call, the same at each node.
-func fingerprintOf(r *http.Request, body []byte) quarantine.Fingerprint {
-	path, query, _ := strings.Cut(originForm(r), "?")
-	return quarantine.NewFingerprint(r.Method, r.Host, path, query, body)
-}
-
 // close lets go of what the call holds.
 func (c *call) close() { c.pass.Release() }
 
@@ -186,7 +147,7 @@
 	t = c.unpromised(t)
 	c.finish(t, false)
 	if t.status() >= http.StatusInternalServerError || t.answer == nil {
-		c.front.cfg.Downstream.noteFailure(time.Now())
+		c.front.cfg.Downstream.NoteFailure(time.Now())
 	}
 	if t.answer == nil {
 		c.fail(c.failureOf(t))
@@ -198,26 +159,26 @@
 	}
 	defer t.answer.Close()
 	if c.front.cfg.Dialect.WholeAnswer {
-		t.answer.until = c.deadline.Add(lateAnswerLimit)
+		t.answer.Until = c.deadline.Add(proxy.LateAnswerLimit)
 	}
 	c.editAnswer(t)
-	n, err := relay(c.w, c.r, t.answer)
+	n, err := proxy.Relay(c.w, c.r, t.answer)
 	c.spendBytes(t, n)
 	if c.front.cfg.Sizes != nil {
 		c.front.cfg.Sizes.Observe(c.route.ID, n+max(c.r.ContentLength, 0), time.Now())
 	}
 	if err != nil {
 		c.logEnd(nil, err)
-		abort(c.w, c.r)
+		proxy.Abort(c.w, c.r)
 		return
 	}
 	c.clearSuspicion(t)
 }
 
 // fail gives the caller an answer of the system's own.
-func (c *call) fail(f *Failure) {
+func (c *call) fail(f *proxy.Failure) {
 	c.logEnd(f, nil)
-	f.write(c.w, &c.front.cfg.Dialect)
+	f.Write(c.w, &c.front.cfg.Dialect)
 }
 
 // truthful replaces a refusal by an unknown outcome when an earlier sending of
@@ -226,9 +187,9 @@
 	if t.outcome() != retry.NotRun || !c.mayHaveRun.Load() {
 		return t
 	}
-	f := unknown(http.StatusBadGateway, t.reason(), "an earlier try may have run and a later one was refused")
+	f := proxy.Unknown(http.StatusBadGateway, t.reason(), "an earlier try may have run and a later one was refused")
 	if t.answer != nil {
-		f.RetryAfter = retryAfterOf(t.answer.Header)
+		f.RetryAfter = proxy.RetryAfterOf(t.answer.Header)
 	}
 	c.drop(t)
 	return &tried{failure: f, exhausted: t.exhausted}
@@ -237,23 +198,23 @@
 // refusalBelow returns the refusal of the node beside a backend server in the
 // words of the callers' dialect, or nil when the answer is to be passed on.
 // Where callers read "not run" from the status, the node's own would hide it.
-func (c *call) refusalBelow(t *tried) *Failure {
+func (c *call) refusalBelow(t *tried) *proxy.Failure {
 	if c.front.cfg.Dialect.RefusalStatus == 0 || t.outcome() != retry.NotRun {
 		return nil
 	}
-	reason, after := t.reason(), retryAfterOf(t.answer.Header)
+	reason, after := t.reason(), proxy.RetryAfterOf(t.answer.Header)
 	status := t.status()
-	t.answer.discard()
-	return notRun(status, reason, "the node beside the backend server did not pass the call on").later(after)
+	t.answer.Discard()
+	return proxy.NotRun(status, reason, "the node beside the backend server did not pass the call on").Later(after)
 }
 
 // unpromised replaces an answer of a backend server that ran the call when
 // callers would take its status for a promise that the call was not run.
 func (c *call) unpromised(t *tried) *tried {
-	if t.outcome() != retry.Ran || !c.front.cfg.Dialect.promised(t.status()) {
+	if t.outcome() != retry.Ran || !c.front.cfg.Dialect.PromisesNotRun(t.status()) {
 		return t
 	}
-	f := unknown(http.StatusBadGateway, t.reason(), "the backend server ran the call and answered with a status that denies it")
+	f := proxy.Unknown(http.StatusBadGateway, t.reason(), "the backend server ran the call and answered with a status that denies it")
 	c.drop(t)
 	return &tried{failure: f, exhausted: t.exhausted}
 }
@@ -263,7 +224,7 @@
 	if c.pass == nil || !t.good() {
 		return
 	}
-	fp := fingerprintOf(c.r, c.body.prefix())
+	fp := proxy.FingerprintOf(c.r, c.body.Prefix())
 	if news := c.front.cfg.Quarantine.Success(fp, time.Now()); len(news) > 0 {
 		c.front.cfg.News(news)
 	}
@@ -272,24 +233,24 @@
 // editAnswer leaves the headers that are meant for the caller.
 func (c *call) editAnswer(t *tried) {
 	h := t.answer.Header
-	for _, name := range internalHeaders {
+	for _, name := range proxy.InternalHeaders {
 		delete(h, name)
 	}
-	h.Set(HeaderAnswerHops, strconv.Itoa(answerHops(h)+1))
+	h.Set(proxy.HeaderAnswerHops, strconv.Itoa(proxy.AnswerHops(h)+1))
 	if t.exhausted {
-		h.Set(HeaderReason, retryReasonExhausted)
+		h.Set(proxy.HeaderReason, retry.ReasonExhausted)
 	}
 }
 
 // failureOf returns the answer when no node gave one.
-func (c *call) failureOf(t *tried) *Failure {
+func (c *call) failureOf(t *tried) *proxy.Failure {
 	f := t.failure
 	if f == nil {
-		f = failureOf(t.err, c.body)
+		f = proxy.FailureOf(t.err, c.body)
 	}
 	if t.exhausted {
 		f.Message += " (" + f.Reason + ")"
-		f.Reason = retryReasonExhausted
+		f.Reason = retry.ReasonExhausted
 	}
 	return f
 }
--- a/internal/proxy/decisionlog.go
+++ b/internal/proxy/front/decisionlog.go
@@ -1,4 +1,4 @@
-package proxy
+package front
 
 import (
 	"context"
@@ -6,16 +6,17 @@
 	"net/http"
 	"time"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 )
 
 // refuse answers a call that the front does not send, and says why in the log.
-func (f *Front) refuse(w http.ResponseWriter, r *http.Request, refusal *Failure, route string) {
+func (f *Front) refuse(w http.ResponseWriter, r *http.Request, refusal *proxy.Failure, route string) {
 	f.cfg.Logger.LogAttrs(r.Context(), slog.LevelInfo, "call_refused",
 		slog.String("call", f.callID(r)), slog.String("route", route), slog.String("host", r.Host), slog.String("path", r.URL.Path),
 		slog.Uint64("generation", f.cfg.Holder.Published()), slog.Int("status", refusal.Status),
 		slog.String("reason", refusal.Reason), slog.Int64("retry_after_ms", refusal.RetryAfter.Milliseconds()))
-	refusal.write(w, &f.cfg.Dialect)
+	refusal.Write(w, &f.cfg.Dialect)
 }
 
 // callID returns the id that the caller gave the call.
@@ -28,21 +29,21 @@
 
 // logEnd writes the line for a call that ends without a whole answer of a
 // backend server. A plain success is only counted.
-func (c *call) logEnd(failure *Failure, cut error) {
+func (c *call) logEnd(failure *proxy.Failure, cut error) {
 	log := c.front.cfg.Logger
 	attrs := append(c.logAttrs(), slog.Int("tries", c.tries), slog.Int("refusals", c.refusals),
 		slog.Int64("elapsed_ms", time.Since(c.started).Milliseconds()), slog.Int64("left_ms", c.remaining().Milliseconds()))
 	switch {
 	case cut != nil:
 		log.LogAttrs(c.ctx, slog.LevelWarn, "call_cut", append(attrs, slog.Any("error", cut))...)
-	case failure.Outcome == OutcomeNotRun:
+	case failure.Outcome == proxy.OutcomeNotRun:
 		log.LogAttrs(c.ctx, slog.LevelInfo, "call_refused", append(attrs, failureAttrs(failure)...)...)
 	default:
 		log.LogAttrs(c.ctx, slog.LevelWarn, "call_failed", append(attrs, failureAttrs(failure)...)...)
 	}
 }
 
-func failureAttrs(f *Failure) []slog.Attr {
+func failureAttrs(f *proxy.Failure) []slog.Attr {
 	return []slog.Attr{
 		slog.Int("status", f.Status), slog.String("reason", f.Reason), slog.String("message", f.Message),
 		slog.Int64("retry_after_ms", f.RetryAfter.Milliseconds()),
@@ -56,25 +57,6 @@
 	}
 }
 
-// logRefusal writes the line for a call that the guard does not pass on, with
-// what decided it.
-func (v *visit) logRefusal(f *Failure) {
-	g := v.guard
-	if !g.cfg.Logger.Enabled(v.ctx, slog.LevelInfo) {
-		return
-	}
-	load := g.cfg.Gate.Report(time.Now())
-	id := ""
-	if g.cfg.Dialect.CallID != "" {
-		id = v.r.Header.Get(g.cfg.Dialect.CallID)
-	}
-	g.cfg.Logger.LogAttrs(v.ctx, slog.LevelInfo, "call_turned_away",
-		slog.String("call", id), slog.String("route", v.r.Header.Get(HeaderRoute)), slog.String("reason", f.Reason),
-		slog.String("outcome", string(f.Outcome)), slog.Int("in_use", load.InUse), slog.Int("queued", load.Queued), slog.Int("slots", load.Slots),
-		slog.Int64("wait_ms", load.Wait.Milliseconds()), slog.Int64("left_ms", time.Until(v.deadline).Milliseconds()),
-		slog.Int64("patience_ms", patienceOf(v.r.Header).Milliseconds()), slog.Int64("elapsed_ms", time.Since(v.begun).Milliseconds()))
-}
-
 // logAttempt writes the line for a sending that brought no good answer.
 func (c *call) logAttempt(t *tried, d retry.Decision) {
 	log := c.front.cfg.Logger
@@ -85,7 +67,7 @@
 		slog.String("reason", t.reason()), slog.Int("status", t.status()), slog.Int64("elapsed_ms", t.elapsed.Milliseconds()),
 		slog.String("rule", d.Rule), slog.String("verdict", string(d.Verdict)))
 	if t.err != nil {
-		attrs = append(attrs, slog.Any("error", t.err.cause), slog.Bool("sent", t.err.sent), slog.Bool("reused", t.err.reused))
+		attrs = append(attrs, slog.Any("error", t.err.Cause), slog.Bool("sent", t.err.Sent), slog.Bool("reused", t.err.Reused))
 	}
 	log.LogAttrs(c.ctx, slog.LevelInfo, "attempt_failed", attrs...)
 }
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/front/hedge.go
@@ -1,4 +1,4 @@
-package proxy
+package front
 
 import (
 	"context"
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/balance"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 )
 
 // States of a hedge.
@@ -21,7 +22,7 @@
 	if delay, ok := c.hedgeAfter(); ok {
 		return c.hedged(choice, delay)
 	}
-	return c.attempt(c.ctx, choice, c.early.pass)
+	return c.attempt(c.ctx, choice, c.early.Pass)
 }
 
 // hedgeAfter returns the time after which a second server is tried, and false
@@ -33,14 +34,14 @@
 	if c.tries >= c.maxRetries() {
 		return 0, false // the hedge would be one server more than the call may be sent to
 	}
-	if !c.policy.Hedge || !c.idempotent || len(c.service.Endpoints) < 2 || !c.body.complete() {
+	if !c.policy.Hedge || !c.idempotent || len(c.service.Endpoints) < 2 || !c.body.Complete() {
 		return 0, false
 	}
 	delay, ok := c.front.cfg.Latencies.HedgeAfter(c.route.ID, time.Now())
 	if fixed := time.Duration(c.policy.HedgeAfter); fixed > 0 {
 		delay, ok = fixed, true
 	}
-	return delay, ok && delay < c.remaining()-leastAttempt
+	return delay, ok && delay < c.remaining()-proxy.LeastAttempt
 }
 
 // hedge is a second attempt that starts when the first is slow.
@@ -62,13 +63,13 @@
 	ctx2, cancel2 := context.WithCancelCause(c.ctx)
 	h := &hedge{call: c, first: first, ctx: ctx2, lose: cancel1, stop: cancel2, result: make(chan *tried, 1)}
 	timer := time.AfterFunc(delay, h.start)
-	one := c.attempt(ctx1, first, c.early.pass)
+	one := c.attempt(ctx1, first, c.early.Pass)
 	timer.Stop()
 	if h.state.CompareAndSwap(hedgeWaiting, hedgeOff) {
 		return one
 	}
 	if one.good() && h.decided.CompareAndSwap(false, true) {
-		h.stop(errLost)
+		h.stop(proxy.ErrLost)
 		go func() { c.lost(<-h.result) }()
 		return one
 	}
@@ -83,7 +84,7 @@
 	}
 	t := h.send()
 	if t != nil && t.good() && h.decided.CompareAndSwap(false, true) {
-		h.lose(errLost)
+		h.lose(proxy.ErrLost)
 	}
 	h.result <- t
 }
--- a/internal/proxy/run.go
+++ b/internal/proxy/guard/exchange.go
@@ -1,4 +1,4 @@
-package proxy
+package guard
 
 import (
 	"cmp"
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/admission"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 	"github.com/goldcrestshed/goldcrestshed/internal/wait"
@@ -33,12 +34,12 @@
 }
 
 // admit gets a place on the backend server, or the reason why there is none.
-func (v *visit) admit() (*place, *Failure) {
+func (v *visit) admit() (*place, *proxy.Failure) {
 	g := v.guard
 	now := time.Now()
 	pass, admission := g.cfg.Quarantine.Run(v.fp, g.cfg.Self, now)
 	if admission != quarantine.Admitted {
-		return nil, refusalBy(admission, g.cfg.Quarantine.Check(v.fp, now), now)
+		return nil, proxy.QuarantineRefusal(admission, g.cfg.Quarantine.Check(v.fp, now), now)
 	}
 	ticket, f := v.enter(now)
 	if f != nil {
@@ -50,13 +51,13 @@
 }
 
 // enter gets a slot, waiting in the queue if need be.
-func (v *visit) enter(now time.Time) (*admission.Ticket, *Failure) {
+func (v *visit) enter(now time.Time) (*admission.Ticket, *proxy.Failure) {
 	priority := admission.Caller
-	if v.r.Header.Get(HeaderPriority) == priorityBackground {
+	if v.r.Header.Get(proxy.HeaderPriority) == proxy.PriorityBackground {
 		priority = admission.Background
 	}
 	ticket, d := v.guard.cfg.Gate.Enter(now, admission.Request{
-		Route: v.r.Header.Get(HeaderRoute), Priority: priority, Deadline: v.deadline, Patience: patienceOf(v.r.Header),
+		Route: v.r.Header.Get(proxy.HeaderRoute), Priority: priority, Deadline: v.deadline, Patience: proxy.PatienceOf(v.r.Header),
 	})
 	if d.Verdict == admission.Queued {
 		d = v.await(ticket)
@@ -81,42 +82,42 @@
 	return admission.Decision{Verdict: admission.Refused, Reason: admission.ReasonDeadline}
 }
 
-func gateFailure(d admission.Decision) *Failure {
+func gateFailure(d admission.Decision) *proxy.Failure {
 	switch d.Reason {
 	case admission.ReasonDraining:
 		return drainingFailure()
 	case admission.ReasonDeadline:
-		return notRun(http.StatusGatewayTimeout, ReasonDeadline, "too little time is left for the call").later(d.RetryAfter)
+		return proxy.NotRun(http.StatusGatewayTimeout, proxy.ReasonDeadline, "too little time is left for the call").Later(d.RetryAfter)
 	}
-	return notRun(http.StatusServiceUnavailable, string(d.Reason), "the backend server has no slot in time").later(d.RetryAfter)
+	return proxy.NotRun(http.StatusServiceUnavailable, string(d.Reason), "the backend server has no slot in time").Later(d.RetryAfter)
 }
 
 // exchange sends the call to the backend server and waits for the header of
 // its answer.
-func (v *visit) exchange() (*answer, *sendError) {
+func (v *visit) exchange() (*proxy.Answer, *proxy.SendError) {
 	v.guard.budget.Call(v.guard.cfg.Self, resendShare, time.Now())
 	a, err := v.sendOnce(false)
 	if err != nil && v.mayRepeat(err) {
-		sent := err.sent
+		sent := err.Sent
 		a, err = v.sendOnce(true)
 		if err != nil {
-			err.sent = err.sent || sent // the first sending counts too
+			err.Sent = err.Sent || sent // the first sending counts too
 		}
 	}
-	v.early.stop()
+	v.early.Stop()
 	v.noteState(err)
 	return a, err
 }
 
 // sendOnce sends the call and looks for a crash when it is lost.
-func (v *visit) sendOnce(fresh bool) (*answer, *sendError) {
+func (v *visit) sendOnce(fresh bool) (*proxy.Answer, *proxy.SendError) {
 	if f := v.guard.closed(time.Now()); f != nil {
-		return nil, &sendError{cause: errors.Mark(errors.New(f.Message), errClosed)}
+		return nil, &proxy.SendError{Cause: errors.Mark(errors.New(f.Message), errClosed)}
 	}
 	a, err := v.send(fresh)
-	if err == nil && !v.guard.cfg.Dialect.answers(v.r, a) {
+	if err == nil && !v.guard.cfg.Dialect.Matches(v.r, a) {
 		a.Close()
-		return nil, &sendError{cause: errMismatch, sent: true, connected: true, reused: !fresh}
+		return nil, &proxy.SendError{Cause: proxy.ErrMismatch, Sent: true, Connected: true, Reused: !fresh}
 	}
 	if err != nil && v.lost(err) {
 		v.checkCrash()
@@ -126,13 +127,17 @@
 
 // mayRepeat reports whether a call that failed on a connection used before is
 // sent again on a new one, before the server is blamed.
-func (v *visit) mayRepeat(err *sendError) bool {
-	if !err.reused || err.canceled || time.Until(v.deadline) < leastAttempt || v.guard.down.Load() {
+func (v *visit) mayRepeat(err *proxy.SendError) bool {
+	if !err.Reused || err.Canceled || time.Until(v.deadline) < proxy.LeastAttempt || v.guard.down.Load() {
 		return false
 	}
-	return v.body.resendable() && (!err.sent || (v.repeat && v.spend()))
+	return v.body.Resendable() && (!err.Sent || (v.repeat && v.spend()))
 }
 
+// backendIdleWaitPart is the part of the time left after which a connection
+// that had been idle counts as silent. It lies below the front's part.
+const backendIdleWaitPart = 1.0 / 3
+
 // resendShare bounds the calls that a guard sends again on a new connection,
 // so that a server that loses every call is not sent each of them twice.
 const resendShare = 0.1
@@ -141,51 +146,51 @@
 	return v.guard.budget.Spend(v.guard.cfg.Self, resendShare, time.Now())
 }
 
-func (v *visit) send(fresh bool) (*answer, *sendError) {
+func (v *visit) send(fresh bool) (*proxy.Answer, *proxy.SendError) {
 	left := max(time.Until(v.deadline), time.Millisecond)
-	s := sending{
-		address: v.guard.cfg.Address, in: v.r, header: v.backendHeader(left), body: v.body,
-		wait: left, fresh: fresh, early: v.early.pass,
+	s := proxy.Sending{
+		Address: v.guard.cfg.Address, Request: v.r, Header: v.backendHeader(left), Body: v.body,
+		Wait: left, Fresh: fresh, Early: v.early.Pass,
 	}
 	if v.repeat {
-		s.idleWait = time.Duration(float64(left) * guardIdleWait)
+		s.IdleWait = time.Duration(float64(left) * backendIdleWaitPart)
 	} else {
-		s.maxIdle = v.guard.cfg.Link.freshAfter
+		s.MaxIdle = v.guard.cfg.Link.FreshAfter()
 	}
-	return v.guard.cfg.Link.send(v.ctx, s)
+	return v.guard.cfg.Link.Send(v.ctx, s)
 }
 
 // backendHeader returns the headers for the backend server, which gets the
 // deadline, hops and priority to pass them on.
 func (v *visit) backendHeader(left time.Duration) http.Header {
-	h := requestHeader(v.r)
-	if key, ok := h[HeaderKey]; ok {
-		h[HeaderKeyCaller] = key
+	h := proxy.RequestHeader(v.r)
+	if key, ok := h[proxy.HeaderKey]; ok {
+		h[proxy.HeaderKeyCaller] = key
 	}
-	for _, name := range []string{HeaderKey, HeaderRoute, HeaderService, HeaderPatienceMs, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat, HeaderQuarantine} {
+	for _, name := range []string{proxy.HeaderKey, proxy.HeaderRoute, proxy.HeaderService, proxy.HeaderPatienceMs, proxy.HeaderOnce, proxy.HeaderHeld, proxy.HeaderCall, proxy.HeaderRepeat, proxy.HeaderQuarantine} {
 		delete(h, name)
 	}
 	v.speak(h, left)
-	hideRepeatKeys(h)
+	proxy.HideRepeatKeys(h)
 	return h
 }
 
 // lost reports whether the connection ended under a call that the backend
 // server may have begun to run.
-func (v *visit) lost(err *sendError) bool {
-	return err.sent && !err.canceled && !err.timedOut && v.body.failure() == nil
+func (v *visit) lost(err *proxy.SendError) bool {
+	return err.Sent && !err.Canceled && !err.TimedOut && v.body.Err() == nil
 }
 
 // noteState keeps account of whether the backend server takes connections. A
 // server that comes back starts cold.
-func (v *visit) noteState(err *sendError) {
+func (v *visit) noteState(err *proxy.SendError) {
 	g := v.guard
 	switch {
 	case err == nil:
 		if g.down.CompareAndSwap(true, false) {
 			g.cfg.Gate.Started(time.Now())
 		}
-	case err.refused():
+	case err.Refused():
 		g.down.Store(true)
 	}
 }
@@ -194,13 +199,13 @@
 // connections is worth another try.
 const downRetryAfter = 200 * time.Millisecond
 
-func (v *visit) failureOf(err *sendError) *Failure {
+func (v *visit) failureOf(err *proxy.SendError) *proxy.Failure {
 	if errors.Is(err, errClosed) {
 		return cmp.Or(v.guard.closed(time.Now()), drainingFailure())
 	}
-	f := failureOf(err, v.body)
-	if err.refused() {
-		f = f.later(downRetryAfter)
+	f := proxy.FailureOf(err, v.body)
+	if err.Refused() {
+		f = f.Later(downRetryAfter)
 	}
 	return f
 }
@@ -218,7 +223,7 @@
 		if !wait.For(v.ctx, delay) {
 			return
 		}
-		if !g.cfg.Link.refuses(v.ctx, g.cfg.Address) {
+		if !g.cfg.Link.Refuses(v.ctx, g.cfg.Address) {
 			continue
 		}
 		g.down.Store(true)
@@ -238,26 +243,26 @@
 
 // relay passes the backend server's answer on. Its error means that the answer
 // is not whole.
-func (v *visit) relay(a *answer) (int64, error) {
+func (v *visit) relay(a *proxy.Answer) (int64, error) {
 	h := a.Header
-	hops := answerHops(h)
-	exhausted := h.Get(HeaderReason) == retry.ReasonExhausted ||
-		a.StatusCode >= http.StatusInternalServerError && v.guard.cfg.Downstream.failedSince(v.begun)
-	delete(h, HeaderReason)
-	delete(h, HeaderQuarantine)
+	hops := proxy.AnswerHops(h)
+	exhausted := h.Get(proxy.HeaderReason) == retry.ReasonExhausted ||
+		a.StatusCode >= http.StatusInternalServerError && v.guard.cfg.Downstream.FailedSince(v.begun)
+	delete(h, proxy.HeaderReason)
+	delete(h, proxy.HeaderQuarantine)
 	v.tag(h)
-	h[HeaderOutcome] = []string{string(OutcomeRan)}
+	h[proxy.HeaderOutcome] = []string{string(proxy.OutcomeRan)}
 	if hops > 0 {
-		h[HeaderAnswerHops] = []string{strconv.Itoa(hops + 1)}
+		h[proxy.HeaderAnswerHops] = []string{strconv.Itoa(hops + 1)}
 	}
 	if exhausted {
-		h[HeaderReason] = []string{retry.ReasonExhausted}
+		h[proxy.HeaderReason] = []string{retry.ReasonExhausted}
 	}
-	n, err := relay(v.w, v.r, a)
+	n, err := proxy.Relay(v.w, v.r, a)
 	switch {
 	case err == nil:
 		v.tell(v.guard.cfg.Quarantine.Success(v.fp, time.Now()))
-	case !errors.Is(err, errCaller) && v.ctx.Err() == nil && !errors.Is(context.Cause(a.Request.Context()), errProgress):
+	case !errors.Is(err, proxy.ErrCaller) && v.ctx.Err() == nil && !errors.Is(context.Cause(a.Request.Context()), proxy.ErrProgress):
 		v.checkCrash()
 	}
 	return n, err
--- a/internal/proxy/guard.go
+++ b/internal/proxy/guard/guard.go
@@ -1,69 +1,55 @@
-package proxy
+// Package guard is the hop beside the backend server: it admits calls to its
+// slots, passes them on, and is the one place that says that a call was not
+// run.
+package guard
 
 import (
 	"context"
-	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/admission"
 	"github.com/goldcrestshed/goldcrestshed/internal/once"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 )
 
-// GuardConfig holds what a Guard decides with.
-type GuardConfig struct {
-	Self       string // node id, which also names the backend server
-	Address    string // of the backend server
-	Service    string // of the backend server; calls to another one are refused; empty refuses none
-	Link       *Link  // to the backend server, with its bound on connections
-	Peers      *Link  // to other guards
-	Gate       *admission.Gate
-	Once       *once.Coordinator // nil refuses calls that must run at most once
-	Quarantine *quarantine.List
-	InFlight   *quarantine.InFlight
-	Dialect    Dialect      // headers of the backend server
-	Logger     *slog.Logger // one line for each call that is not passed on; nil for none
-	Reported   bool         // the backend server reports its state, see SetServer
-	Downstream *Downstream  // tells whether calls of the backend server failed; nil for none
+// Config holds what a Guard decides with.
+type Config struct {
+	proxy.HopConfig // calls to another service are refused; an empty Service refuses none
+
+	Self     string      // node id, which also names the backend server
+	Address  string      // of the backend server
+	Link     *proxy.Link // to the backend server, with its bound on connections
+	Peers    *proxy.Link // to other guards
+	Gate     *admission.Gate
+	Once     *once.Coordinator // nil refuses calls that must run at most once
+	InFlight *quarantine.InFlight
+	Reported bool // the backend server reports its state, see SetServer
 	// GuardOf returns the address of the guard of a holder that is alive.
 	GuardOf func(once.Holder) (string, bool)
-	// News takes quarantine entries that other nodes should hear of; nil drops
-	// them.
-	News func([]quarantine.Entry)
-	// Retention returns how long the log keeps claims; nil stands for a
-	// default.
-	Retention func() time.Duration
 }
 
 // Guard stands before the backend server of its node and is the one place
 // that can say that a call was not run.
 type Guard struct {
-	cfg      GuardConfig
-	flight   *flight
+	cfg      Config
+	calls    *proxy.CallCount
 	draining atomic.Bool
 	down     atomic.Bool                 // the backend server refused the last connection
 	budget   *retry.Budgets              // of calls sent again on a new connection
 	server   atomic.Pointer[ServerState] // nil until the backend server has reported
 }
 
-// NewGuard returns a Guard.
-func NewGuard(cfg GuardConfig) *Guard {
-	if cfg.News == nil {
-		cfg.News = func([]quarantine.Entry) {}
-	}
-	if cfg.Retention == nil {
-		cfg.Retention = func() time.Duration { return once.DefaultRetention }
-	}
-	if cfg.Logger == nil {
-		cfg.Logger = slog.New(slog.DiscardHandler)
-	}
+// New returns a Guard.
+func New(cfg Config) *Guard {
+	cfg.HopConfig = cfg.WithDefaults()
 	if cfg.GuardOf == nil {
 		cfg.GuardOf = func(once.Holder) (string, bool) { return "", false }
 	}
-	return &Guard{cfg: cfg, flight: newFlight(), budget: retry.NewBudgets()}
+	return &Guard{cfg: cfg, calls: proxy.NewCallCount(), budget: retry.NewBudgets()}
 }
 
 // Drain refuses new calls from now on.
@@ -73,17 +59,14 @@
 }
 
 // Wait returns when no call is under way.
-func (g *Guard) Wait(ctx context.Context) error { return g.flight.wait(ctx) }
-
-// Wait returns when no call is under way.
-func (f *Front) Wait(ctx context.Context) error { return f.flight.wait(ctx) }
+func (g *Guard) Wait(ctx context.Context) error { return g.calls.Wait(ctx) }
 
 // ServeHTTP implements http.Handler.
 func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.flight.enter()
-	defer g.flight.leave()
-	rc := beginCall(w)
-	defer endCall(rc, r)
+	g.calls.Enter()
+	defer g.calls.Leave()
+	rc := proxy.BeginCall(w)
+	defer proxy.EndCall(rc, r)
 	v := g.newVisit(w, r, rc)
 	if f := g.misdirected(r); f != nil {
 		v.fail(f)
@@ -110,8 +93,8 @@
 	deadline time.Time
 	rule     string // form of keys when the call must run at most once
 	repeat   bool   // the call may run more than once
-	body     *keptBody
-	early    *earlyHints
+	body     *proxy.Body
+	early    *proxy.EarlyHints
 	fp       quarantine.Fingerprint
 	news     []quarantine.Entry // to be told in the answer
 
@@ -120,18 +103,18 @@
 }
 
 func (g *Guard) newVisit(w http.ResponseWriter, r *http.Request, rc *http.ResponseController) *visit {
-	limit, ok := deadlineOf(r.Header, HeaderDeadlineMs)
+	limit, ok := proxy.DeadlineOf(r.Header, proxy.HeaderDeadlineMs)
 	if !ok {
 		limit = defaultWait
 	}
 	now := time.Now()
 	v := &visit{
 		guard: g, w: w, r: r, rc: rc, ctx: r.Context(), begun: now, deadline: now.Add(limit),
-		rule: r.Header.Get(HeaderOnce), repeat: r.Header.Get(HeaderRepeat) != "",
-		body: newKeptBody(r), early: &earlyHints{w: w},
+		rule: r.Header.Get(proxy.HeaderOnce), repeat: r.Header.Get(proxy.HeaderRepeat) != "",
+		body: proxy.NewBody(r), early: &proxy.EarlyHints{Writer: w},
 	}
-	if text := r.Header.Get(HeaderQuarantine); text != "" {
-		if news := g.cfg.Quarantine.Merge(parseEntries(text), now); len(news) > 0 {
+	if text := r.Header.Get(proxy.HeaderQuarantine); text != "" {
+		if news := g.cfg.Quarantine.Merge(proxy.ParseEntries(text), now); len(news) > 0 {
 			g.cfg.News(news)
 		}
 	}
@@ -139,20 +122,20 @@
 }
 
 // fail answers with an outcome of the guard's own.
-func (v *visit) fail(f *Failure) {
-	v.early.stop()
+func (v *visit) fail(f *proxy.Failure) {
+	v.early.Stop()
 	v.logRefusal(f)
 	v.tag(v.w.Header())
-	f.write(v.w, &ownDialect)
+	f.Write(v.w, &proxy.OwnDialect)
 }
 
 // tag adds what the front wants to know beside an answer.
 func (v *visit) tag(h http.Header) {
-	h[HeaderCall] = v.r.Header[HeaderCall]
-	h[HeaderAnswerHops] = []string{"1"}
-	h[HeaderLoad] = []string{formatLoad(v.guard.cfg.Gate.Report(time.Now()))}
+	h[proxy.HeaderCall] = v.r.Header[proxy.HeaderCall]
+	h[proxy.HeaderAnswerHops] = []string{"1"}
+	h[proxy.HeaderLoad] = []string{proxy.FormatLoad(v.guard.cfg.Gate.Report(time.Now()))}
 	if len(v.news) > 0 {
-		h[HeaderQuarantine] = []string{formatEntries(v.news)}
+		h[proxy.HeaderQuarantine] = []string{proxy.FormatEntries(v.news)}
 	}
 }
 
@@ -162,19 +145,19 @@
 const streamPrefixWait = 20 * time.Millisecond
 
 // takeBody gets the beginning of the body, which the fingerprint needs.
-func (v *visit) takeBody() *Failure {
+func (v *visit) takeBody() *proxy.Failure {
 	var err error
-	if v.w, err = v.body.prepare(v.w, v.rc, v.deadline); err != nil {
-		return failureOf(&sendError{cause: err}, v.body)
+	if v.w, err = v.body.Prepare(v.w, v.rc, v.deadline); err != nil {
+		return proxy.FailureOf(&proxy.SendError{Cause: err}, v.body)
 	}
-	v.early.w = v.w
+	v.early.Writer = v.w
 	if v.body != nil && v.r.Header.Get("Expect") == "" {
-		v.body.await(streamPrefixWait)
-		if err := v.body.failure(); err != nil {
-			return failureOf(&sendError{cause: err}, v.body)
+		v.body.Await(streamPrefixWait)
+		if err := v.body.Err(); err != nil {
+			return proxy.FailureOf(&proxy.SendError{Cause: err}, v.body)
 		}
 	}
-	v.fp = fingerprintOf(v.r, v.body.prefix())
+	v.fp = proxy.FingerprintOf(v.r, v.body.Prefix())
 	return nil
 }
 
@@ -200,7 +183,7 @@
 		return
 	}
 	defer a.Close()
-	if v.guard.cfg.Dialect.notExecuted(a) {
+	if v.guard.cfg.Dialect.SaysNotRun(a) {
 		p.leave(false)
 		v.fail(v.shed(a))
 		return
@@ -208,10 +191,10 @@
 	_, cut := v.relay(a)
 	p.leave(cut == nil && a.StatusCode < http.StatusInternalServerError)
 	if cut != nil {
-		abort(v.w, v.r)
+		proxy.Abort(v.w, v.r)
 	}
 }
 
-func drainingFailure() *Failure {
-	return notRun(http.StatusServiceUnavailable, ReasonDraining, "the backend server is leaving").later(time.Second)
+func drainingFailure() *proxy.Failure {
+	return proxy.NotRun(http.StatusServiceUnavailable, proxy.ReasonDraining, "the backend server is leaving").Later(time.Second)
 }
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/guard/keyed.go
@@ -1,4 +1,4 @@
-package proxy
+package guard
 
 import (
 	"bytes"
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/once"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 )
 
 // serveOnce runs a call with a key at most once. The claim comes before the
@@ -22,10 +23,10 @@
 		return
 	}
 	now := time.Now()
-	rule := once.KeyRule{Any: v.rule == anyKeys, Retention: v.guard.cfg.Retention()}
-	key, refusal := once.ParseKey(v.r.Header.Get(HeaderKey), rule, now)
+	rule := once.KeyRule{Any: v.rule == proxy.AnyKeys, Retention: v.guard.cfg.Retention()}
+	key, refusal := once.ParseKey(v.r.Header.Get(proxy.HeaderKey), rule, now)
 	if refusal != nil {
-		v.fail(notRun(http.StatusBadRequest, string(refusal.Reason), refusal.Message))
+		v.fail(proxy.NotRun(http.StatusBadRequest, string(refusal.Reason), refusal.Message))
 		return
 	}
 	if f := v.takeBody(); f != nil {
@@ -35,9 +36,9 @@
 	ctx, cancel := context.WithDeadline(v.ctx, v.deadline)
 	defer cancel()
 	v.key = key
-	claim := v.r.Header.Get(HeaderHeld)
+	claim := v.r.Header.Get(proxy.HeaderHeld)
 	if claim != "" && v.guard.cfg.Once.Surrender(ctx, key, claim) {
-		v.fail(notRun(http.StatusServiceUnavailable, ReasonReleased, "the claim on the idempotency key was given up"))
+		v.fail(proxy.NotRun(http.StatusServiceUnavailable, proxy.ReasonReleased, "the claim on the idempotency key was given up"))
 		return
 	}
 	v.follow(ctx, v.guard.cfg.Once.Begin(ctx, key, now))
@@ -64,17 +65,17 @@
 // logRetryAfter is the time after which the log is worth another try.
 const logRetryAfter = time.Second
 
-func onceRefused(reason once.Reason) *Failure {
-	return notRun(http.StatusServiceUnavailable, string(reason), "the call was not run under its idempotency key").later(logRetryAfter)
+func onceRefused(reason once.Reason) *proxy.Failure {
+	return proxy.NotRun(http.StatusServiceUnavailable, string(reason), "the call was not run under its idempotency key").Later(logRetryAfter)
 }
 
-func onceUnknown(reason once.Reason) *Failure {
-	return unknown(http.StatusBadGateway, string(reason), "the call may have run under its idempotency key")
+func onceUnknown(reason once.Reason) *proxy.Failure {
+	return proxy.Unknown(http.StatusBadGateway, string(reason), "the call may have run under its idempotency key")
 }
 
-func ranBefore(status int, reason once.Reason) *Failure {
-	return &Failure{
-		Status: http.StatusConflict, Outcome: OutcomeRan, Reason: string(reason), RanStatus: status,
+func ranBefore(status int, reason once.Reason) *proxy.Failure {
+	return &proxy.Failure{
+		Status: http.StatusConflict, Outcome: proxy.OutcomeRan, Reason: string(reason), RanStatus: status,
 		Message: "the call ran under its idempotency key and its answer is gone",
 	}
 }
@@ -103,14 +104,14 @@
 }
 
 // release gives a claim back whose call was not sent to the backend server.
-func (v *visit) release(run *once.Run, f *Failure) {
+func (v *visit) release(run *once.Run, f *proxy.Failure) {
 	v.guard.cfg.Once.Release(run, once.Reason(f.Reason), time.Now())
 	v.fail(f)
 }
 
-func (v *visit) settleFailure(run *once.Run, err *sendError) {
+func (v *visit) settleFailure(run *once.Run, err *proxy.SendError) {
 	f := v.failureOf(err)
-	if f.Outcome == OutcomeNotRun {
+	if f.Outcome == proxy.OutcomeNotRun {
 		v.release(run, f)
 		return
 	}
@@ -119,17 +120,17 @@
 }
 
 // relayKept passes the answer on and keeps it for repeats of the call.
-func (v *visit) relayKept(run *once.Run, p *place, a *answer) {
+func (v *visit) relayKept(run *once.Run, p *place, a *proxy.Answer) {
 	kept := &keptAnswer{from: a.Body}
 	a.Body = kept
 	_, err := v.relay(a)
-	if errors.Is(err, errCaller) {
+	if errors.Is(err, proxy.ErrCaller) {
 		kept.drain()
 	}
 	v.guard.cfg.Once.Finish(run, kept.answer(a), time.Now())
 	p.leave(err == nil && a.StatusCode < http.StatusInternalServerError)
 	if err != nil {
-		abort(v.w, v.r)
+		proxy.Abort(v.w, v.r)
 	}
 }
 
@@ -157,7 +158,7 @@
 
 // drain reads the rest of a body that the caller does not take.
 func (k *keptAnswer) drain() {
-	piece := make([]byte, pieceBytes)
+	piece := make([]byte, proxy.PieceBytes)
 	for !k.large {
 		if _, err := k.Read(piece); err != nil {
 			return
@@ -167,15 +168,15 @@
 
 // answer returns what is kept for repeats. Without the whole body they are
 // only told that the call ran.
-func (k *keptAnswer) answer(a *answer) once.Answer {
+func (k *keptAnswer) answer(a *proxy.Answer) once.Answer {
 	out := once.Answer{Outcome: once.OutcomeRan, Status: a.StatusCode, Whole: k.whole && !k.large}
 	if !out.Whole {
 		out.Reason = once.ReasonAnswerNotKept
 		return out
 	}
 	out.Header = make(http.Header, len(a.Header))
-	copyEndToEnd(out.Header, a.Header)
-	for _, name := range internalHeaders {
+	proxy.CopyEndToEnd(out.Header, a.Header)
+	for _, name := range proxy.InternalHeaders {
 		delete(out.Header, name)
 	}
 	out.Body = k.kept.Bytes()
@@ -188,7 +189,7 @@
 	case <-run.Done():
 		v.giveKept(run.Answer())
 	case <-ctx.Done():
-		v.fail(unknown(http.StatusGatewayTimeout, ReasonDeadline, "the call still runs"))
+		v.fail(proxy.Unknown(http.StatusGatewayTimeout, proxy.ReasonDeadline, "the call still runs"))
 	}
 }
 
@@ -205,9 +206,9 @@
 		return
 	}
 	h := v.w.Header()
-	copyEndToEnd(h, a.Header)
+	proxy.CopyEndToEnd(h, a.Header)
 	v.tag(h)
-	h[HeaderOutcome] = []string{string(OutcomeRan)}
+	h[proxy.HeaderOutcome] = []string{string(proxy.OutcomeRan)}
 	v.w.WriteHeader(a.Status)
 	_, _ = v.w.Write(a.Body)
 }
@@ -221,7 +222,7 @@
 // here; when it is gone, the log's word is all that is left.
 func (v *visit) sendToHolder(ctx context.Context, d once.Decision) {
 	address, ok := v.guard.cfg.GuardOf(d.Holder)
-	if !ok || v.r.Header.Get(HeaderHeld) != "" {
+	if !ok || v.r.Header.Get(proxy.HeaderHeld) != "" {
 		v.follow(ctx, d.WithoutHolder())
 		return
 	}
@@ -230,40 +231,40 @@
 		v.follow(ctx, d.WithoutHolder())
 		return
 	}
-	if Outcome(a.Header.Get(HeaderOutcome)) == OutcomeNotRun && v.handovers < maxHandovers {
+	if proxy.Outcome(a.Header.Get(proxy.HeaderOutcome)) == proxy.OutcomeNotRun && v.handovers < maxHandovers {
 		a.Close()
 		v.handovers++
 		v.follow(ctx, v.guard.cfg.Once.Begin(ctx, v.key, time.Now()))
 		return
 	}
 	defer a.Close()
-	hops := answerHops(a.Header)
+	hops := proxy.AnswerHops(a.Header)
 	v.tag(a.Header)
-	a.Header[HeaderAnswerHops] = []string{strconv.Itoa(hops + 1)}
-	if _, err := relay(v.w, v.r, a); err != nil {
-		abort(v.w, v.r)
+	a.Header[proxy.HeaderAnswerHops] = []string{strconv.Itoa(hops + 1)}
+	if _, err := proxy.Relay(v.w, v.r, a); err != nil {
+		proxy.Abort(v.w, v.r)
 	}
 }
 
-func (v *visit) askHolder(address, claim string) (*answer, bool) {
+func (v *visit) askHolder(address, claim string) (*proxy.Answer, bool) {
 	for _, fresh := range []bool{false, true} {
 		left := time.Until(v.deadline)
-		if left < leastAttempt || !v.body.resendable() {
+		if left < proxy.LeastAttempt || !v.body.Resendable() {
 			return nil, false
 		}
-		header := requestHeader(v.r)
+		header := proxy.RequestHeader(v.r)
 		mark := strconv.FormatUint(rand.Uint64(), 36)
-		header[HeaderHeld] = []string{claim}
-		header[HeaderCall] = []string{mark}
-		header[HeaderDeadlineMs] = []string{formatDeadline(left)}
-		a, err := v.guard.cfg.Peers.send(v.ctx, sending{address: address, in: v.r, header: header, body: v.body, wait: left, fresh: fresh})
+		header[proxy.HeaderHeld] = []string{claim}
+		header[proxy.HeaderCall] = []string{mark}
+		header[proxy.HeaderDeadlineMs] = []string{proxy.FormatDeadline(left)}
+		a, err := v.guard.cfg.Peers.Send(v.ctx, proxy.Sending{Address: address, Request: v.r, Header: header, Body: v.body, Wait: left, Fresh: fresh})
 		switch {
-		case err == nil && a.Header.Get(HeaderCall) == mark:
-			v.early.stop()
+		case err == nil && a.Header.Get(proxy.HeaderCall) == mark:
+			v.early.Stop()
 			return a, true
 		case err == nil:
 			a.Close()
-		case err.canceled:
+		case err.Canceled:
 			return nil, false
 		}
 	}
--- a/internal/proxy/probe.go
+++ b/internal/proxy/guard/probe.go
@@ -1,4 +1,4 @@
-package proxy
+package guard
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 // with whether that changed. Only the connection counts, since health
 // endpoints lag or mislead. A server that comes back starts cold.
 func (g *Guard) Probe(ctx context.Context) (up, changed bool) {
-	up = !g.cfg.Link.refuses(ctx, g.cfg.Address)
+	up = !g.cfg.Link.Refuses(ctx, g.cfg.Address)
 	changed = g.down.CompareAndSwap(up, !up)
 	if changed && up {
 		g.cfg.Gate.Started(time.Now())
--- a/internal/proxy/server_state.go
+++ b/internal/proxy/guard/server.go
@@ -1,10 +1,12 @@
-package proxy
+package guard
 
 import (
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 )
 
 // ServerState is what the backend server beside a node says of itself.
@@ -31,7 +33,7 @@
 func (g *Guard) ForgetServer() { g.server.Store(nil) }
 
 // closed returns why no call may be passed to the backend server, or nil.
-func (g *Guard) closed(now time.Time) *Failure {
+func (g *Guard) closed(now time.Time) *proxy.Failure {
 	if g.draining.Load() {
 		return drainingFailure()
 	}
@@ -41,7 +43,7 @@
 	s := g.server.Load()
 	switch {
 	case s == nil:
-		return notRun(http.StatusServiceUnavailable, ReasonNotReported, "the backend server has not reported to its node yet").later(notReportedRetryAfter)
+		return proxy.NotRun(http.StatusServiceUnavailable, proxy.ReasonNotReported, "the backend server has not reported to its node yet").Later(notReportedRetryAfter)
 	case !s.Leaving.IsZero() && now.Sub(s.Leaving) > leavingGrace:
 		return drainingFailure()
 	}
@@ -50,7 +52,7 @@
 
 // entryClosed returns why a call that has just arrived is not passed to the
 // backend server, or nil. Calls that wait for a slot get leavingGrace.
-func (g *Guard) entryClosed(now time.Time) *Failure {
+func (g *Guard) entryClosed(now time.Time) *proxy.Failure {
 	if s := g.server.Load(); s != nil && !s.Leaving.IsZero() {
 		return drainingFailure()
 	}
@@ -59,12 +61,12 @@
 
 // misdirected refuses a call to another service. The addresses of an instance
 // that is gone may belong to an instance of another service by now.
-func (g *Guard) misdirected(r *http.Request) *Failure {
-	service := r.Header.Get(HeaderService)
+func (g *Guard) misdirected(r *http.Request) *proxy.Failure {
+	service := r.Header.Get(proxy.HeaderService)
 	if service == "" || g.cfg.Service == "" || service == g.cfg.Service {
 		return nil
 	}
-	return notRun(http.StatusServiceUnavailable, ReasonWrongService, "the node guards a backend server of another service").later(wrongServiceRetryAfter)
+	return proxy.NotRun(http.StatusServiceUnavailable, proxy.ReasonWrongService, "the node guards a backend server of another service").Later(wrongServiceRetryAfter)
 }
 
 // wrongServiceRetryAfter is about the time in which nodes learn of the other
@@ -79,32 +81,29 @@
 func (v *visit) speak(h http.Header, left time.Duration) {
 	d := &v.guard.cfg.Dialect
 	if d.Deadline != "" {
-		for _, name := range []string{HeaderDeadlineMs, HeaderHops, HeaderPriority} {
+		for _, name := range []string{proxy.HeaderDeadlineMs, proxy.HeaderHops, proxy.HeaderPriority} {
 			delete(h, name)
 		}
 	}
-	h[d.deadlineName()] = []string{formatDeadline(left)}
+	h[d.DeadlineName()] = []string{proxy.FormatDeadline(left)}
 	if s := v.guard.server.Load(); s != nil && d.Target != "" && s.Instance != "" {
 		h[d.Target] = []string{s.Instance}
 	}
 }
 
 // shed returns the refusal of a call that the backend server did not run.
-func (v *visit) shed(a *answer) *Failure {
+func (v *visit) shed(a *proxy.Answer) *proxy.Failure {
 	if a.StatusCode == http.StatusMisdirectedRequest {
 		v.guard.ForgetServer()
-		return notRun(http.StatusServiceUnavailable, ReasonNotReported, "another backend server has the address").later(notReportedRetryAfter)
+		return proxy.NotRun(http.StatusServiceUnavailable, proxy.ReasonNotReported, "another backend server has the address").Later(notReportedRetryAfter)
 	}
-	after := retryAfterOf(a.Header)
+	after := proxy.RetryAfterOf(a.Header)
 	if after == 0 {
 		after = shedRetryAfter
 	}
-	return notRun(http.StatusServiceUnavailable, ReasonShed, "the backend server did not run the call").later(after)
+	return proxy.NotRun(http.StatusServiceUnavailable, proxy.ReasonShed, "the backend server did not run the call").Later(after)
 }
 
 // shedRetryAfter is the time after which a backend server that refused a call
 // without a time of its own is worth another try.
 const shedRetryAfter = 100 * time.Millisecond
-
-// ownDialect is the product's own interface, which nodes speak to one another.
-var ownDialect Dialect
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -1,6 +1,7 @@
-// Package proxy is the path of calls: net/http on both sides, decisions from
-// the packages balance, admission, retry, once and quarantine. It alone knows
-// callers' HTTP.
+// Package proxy holds what both hops of the path of calls share: connections,
+// messages and their bodies, the headers of the system, and the answers that
+// it gives itself. The hops are the packages front and guard; with them it
+// alone knows callers' HTTP.
 package proxy
 
 import (
@@ -8,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 )
 
 // Headers of the system.
@@ -67,8 +70,28 @@
 	ReasonBudget         = "cross_region_budget"
 )
 
-// maxHops is the deepest chain of calls.
-const maxHops = 16
+// Words of HeaderPriority.
+const (
+	PriorityCaller     = "caller"
+	PriorityBackground = "background"
+)
+
+// Values of HeaderOnce, which are those of the policy.
+const (
+	AnyKeys  = "any"
+	uuidKeys = "uuidv7"
+)
+
+// KeyForm returns the form of keys that a policy asks for, as in HeaderOnce.
+func KeyForm(p *profile.Policy) string {
+	if p.Keys == AnyKeys {
+		return AnyKeys
+	}
+	return uuidKeys
+}
+
+// MaxHops is the deepest chain of calls.
+const MaxHops = 16
 
 // Failure is an answer that the system gives itself.
 type Failure struct {
@@ -81,8 +104,8 @@
 	RanStatus    int           `json:"ranStatus,omitempty"` // of an answer that is no longer there
 }
 
-// write answers a caller who speaks dialect d.
-func (f Failure) write(w http.ResponseWriter, d *Dialect) {
+// Write answers a caller who speaks dialect d.
+func (f Failure) Write(w http.ResponseWriter, d *Dialect) {
 	f = d.edit(f)
 	h := w.Header()
 	h.Set(HeaderOutcome, string(f.Outcome))
@@ -97,18 +120,18 @@
 	_ = json.NewEncoder(w).Encode(f)
 }
 
-// notRun returns the answer to a call that was not run.
-func notRun(status int, reason, message string) *Failure {
+// NotRun returns the answer to a call that was not run.
+func NotRun(status int, reason, message string) *Failure {
 	return &Failure{Status: status, Outcome: OutcomeNotRun, Reason: reason, Message: message}
 }
 
-// later adds the time after which the call may be tried again.
-func (f *Failure) later(after time.Duration) *Failure {
+// Later adds the time after which the call may be tried again.
+func (f *Failure) Later(after time.Duration) *Failure {
 	f.RetryAfter = after
 	return f
 }
 
-// unknown returns the answer to a call that may have been run.
-func unknown(status int, reason, message string) *Failure {
+// Unknown returns the answer to a call that may have been run.
+func Unknown(status int, reason, message string) *Failure {
 	return &Failure{Status: status, Outcome: OutcomeUnknown, Reason: reason, Message: message}
 }
--- a/internal/proxy/hop.go
+++ b/internal/proxy/message.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxHeaderBytes bounds the request line and headers of a call.
-const maxHeaderBytes = 64 << 10
+// MaxHeaderBytes bounds the request line and headers of a call.
+const MaxHeaderBytes = 64 << 10
 
 // maxBodyBytes bounds the body of a call, so that one caller cannot hold a
 // slot with an endless upload.
@@ -33,9 +33,9 @@
 	return false
 }
 
-// copyEndToEnd adds the headers of a message that pass this hop to dst. Value
+// CopyEndToEnd adds the headers of a message that pass this hop to dst. Value
 // slices are shared and must not be changed in place.
-func copyEndToEnd(dst, src http.Header) {
+func CopyEndToEnd(dst, src http.Header) {
 	for name, values := range src {
 		if !isHopHeader(name) {
 			dst[name] = values
@@ -48,11 +48,11 @@
 	}
 }
 
-// requestHeader returns the headers of a call for the next hop, with room for
+// RequestHeader returns the headers of a call for the next hop, with room for
 // those that the caller of requestHeader adds.
-func requestHeader(in *http.Request) http.Header {
+func RequestHeader(in *http.Request) http.Header {
 	out := make(http.Header, len(in.Header)+12)
-	copyEndToEnd(out, in.Header)
+	CopyEndToEnd(out, in.Header)
 	if hasToken(in.Header["Te"], "trailers") {
 		out["Te"] = []string{"trailers"}
 	}
@@ -114,20 +114,20 @@
 	return rest[i:]
 }
 
-// refusalOf returns the answer to a call that is not passed on as a matter of
+// HTTPRefusal returns the answer to a call that is not passed on as a matter of
 // HTTP, or nil.
-func refusalOf(in *http.Request) *Failure {
+func HTTPRefusal(in *http.Request) *Failure {
 	switch {
-	case headerBytes(in) > maxHeaderBytes:
-		return notRun(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderTooLarge, "the request line and headers exceed 64 KB")
+	case headerBytes(in) > MaxHeaderBytes:
+		return NotRun(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderTooLarge, "the request line and headers exceed 64 KB")
 	case in.ContentLength > maxBodyBytes:
-		return notRun(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body exceeds 1 GB")
+		return NotRun(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body exceeds 1 GB")
 	case in.Method == http.MethodConnect:
-		return notRun(http.StatusNotImplemented, ReasonUpgrade, "CONNECT is not supported")
+		return NotRun(http.StatusNotImplemented, ReasonUpgrade, "CONNECT is not supported")
 	case in.ProtoMajor == 1 && hasToken(in.Header["Connection"], "upgrade") && !hasToken(in.Header["Upgrade"], "h2c"):
 		// An offer of h2c may be ignored, since the same answer is as good
 		// over HTTP/1.1. Other protocols would change what follows.
-		return notRun(http.StatusNotImplemented, ReasonUpgrade, "protocol upgrades are not supported")
+		return NotRun(http.StatusNotImplemented, ReasonUpgrade, "protocol upgrades are not supported")
 	}
 	return nil
 }
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/path/bench_test.go
@@ -1,4 +1,4 @@
-package proxy
+package path_test
 
 import (
 	"io"
--- a/internal/proxy/chaos_test.go
+++ b/internal/proxy/path/chaos_test.go
@@ -1,4 +1,4 @@
-package proxy
+package path_test
 
 import (
 	"fmt"
@@ -14,6 +14,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 )
 
 // ledger counts the runs of each call on all backend servers.
@@ -66,7 +68,7 @@
 		case 4:
 			w.net.kill("guard-" + id)
 			time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
-			w.serve("guard-"+id, &NewServer(w.nodes[id].guard).Server)
+			w.serve("guard-"+id, &proxy.NewServer(w.nodes[id].guard).Server)
 		case 5:
 			w.net.kill("backend-" + id)
 			time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
@@ -115,8 +117,8 @@
 	body := strings.Repeat("b", int(xxhash.Sum64String(id)%100000))
 	got := w.call(method, "/?id="+id, body, nil)
 	runs := l.add(id, 0)
-	assert.Check(w.t, got.outcome != string(OutcomeNotRun) || runs == 0, "%s was told not-run after %d runs: %s", id, runs, got.body)
-	assert.Check(w.t, got.outcome != string(OutcomeRan) || runs > 0, "%s was told ran", id)
+	assert.Check(w.t, got.outcome != string(proxy.OutcomeNotRun) || runs == 0, "%s was told not-run after %d runs: %s", id, runs, got.body)
+	assert.Check(w.t, got.outcome != string(proxy.OutcomeRan) || runs > 0, "%s was told ran", id)
 	assert.Check(w.t, method != "POST" || runs <= 1, "%s ran %d times", id, runs)
 	if got.err == nil && got.status == http.StatusOK {
 		assert.Check(w.t, got.body == wholeBody(id), "%s got %d bytes of a wrong or cut answer", id, len(got.body))
--- a/internal/proxy/dialect_test.go
+++ b/internal/proxy/path/dialect_test.go
@@ -1,7 +1,6 @@
-package proxy
+package path_test
 
 import (
-	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
@@ -9,20 +8,23 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/front"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/guard"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
 
 // foreign is a dialect with a name for each header.
-var foreign = Dialect{
+var foreign = proxy.Dialect{
 	Deadline: "X-Left-Ms", CallID: "X-Call", Caller: "X-Caller", Target: "X-Target", NotExecuted: "X-Not-Run",
 	RefusalStatus: http.StatusServiceUnavailable, WholeAnswer: true, FractionalRetryAfter: true,
 }
 
 // newForeignPath returns the address of a front before one node and its
 // backend server, which has reported as instance i-1.
-func newForeignPath(t *testing.T, backend string, edit func(*GuardConfig), state *ServerState) (address string, guard *Guard) {
+func newForeignPath(t *testing.T, backend string, edit func(*guard.Config), state *guard.ServerState) string {
 	t.Helper()
-	n := newTestNode(t, "a", backend, func(cfg *GuardConfig) {
+	n := newTestNode(t, "a", backend, func(cfg *guard.Config) {
 		cfg.Dialect, cfg.Reported, cfg.Service = foreign, true, "shop"
 		if edit != nil {
 			edit(cfg)
@@ -31,9 +33,9 @@
 	if state != nil {
 		n.guard.SetServer(*state)
 	}
-	front := frontOf([]string{n.address}, func(r *snapshot.Route) { r.MaxAttempts = 1 }, newList())
-	front.cfg.Dialect, front.cfg.Service = foreign, "shop-front"
-	return serveCalls(t, front), n.guard
+	cfg := frontConfig([]string{n.address}, func(r *snapshot.Route) { r.MaxAttempts = 1 })
+	cfg.Dialect, cfg.Service = foreign, "shop-front"
+	return serveCalls(t, front.New(cfg))
 }
 
 func callForeign(t *testing.T, address, id string) *http.Response {
@@ -57,7 +59,7 @@
 		got = r.Header.Clone()
 		echo(w, r)
 	})
-	address, _ := newForeignPath(t, backend, nil, &ServerState{Instance: "i-1"})
+	address := newForeignPath(t, backend, nil, &guard.ServerState{Instance: "i-1"})
 	assert.Equal(t, callForeign(t, address, "c1").StatusCode, http.StatusOK)
 	assert.Equal(t, got.Get("X-Caller"), "shop-front")
 	assert.Equal(t, got.Get("X-Target"), "i-1")
@@ -73,7 +75,7 @@
 // the next one is expected, reaching a caller.
 func TestAnswerWithAnotherIDIsRefused(t *testing.T) {
 	backend := backendOf(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Call", "other") })
-	address, _ := newForeignPath(t, backend, nil, &ServerState{Instance: "i-1"})
+	address := newForeignPath(t, backend, nil, &guard.ServerState{Instance: "i-1"})
 	assert.Equal(t, callForeign(t, address, "c1").StatusCode, http.StatusBadGateway)
 }
 
@@ -90,12 +92,12 @@
 			w.WriteHeader(status)
 		}
 	}
-	reported := &ServerState{Instance: "i-1"}
+	reported := &guard.ServerState{Instance: "i-1"}
 	for _, c := range []struct {
 		name    string
 		backend http.HandlerFunc
-		edit    func(*GuardConfig)
-		state   *ServerState
+		edit    func(*guard.Config)
+		state   *guard.ServerState
 		status  int
 	}{
 		{"the server sheds the call", answer(503, true), nil, reported, 503},
@@ -103,11 +105,11 @@
 		{"the server ran the call and failed", answer(500, false), nil, reported, 500},
 		{"another server has the address", answer(421, false), nil, reported, 503},
 		{"the server has not reported", echo, nil, nil, 503},
-		{"the server leaves", echo, nil, &ServerState{Instance: "i-1", Leaving: time.Now()}, 503},
-		{"another service has the node's address", echo, func(cfg *GuardConfig) { cfg.Service = "other" }, reported, 503},
+		{"the server leaves", echo, nil, &guard.ServerState{Instance: "i-1", Leaving: time.Now()}, 503},
+		{"another service has the node's address", echo, func(cfg *guard.Config) { cfg.Service = "other" }, reported, 503},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			address, _ := newForeignPath(t, backendOf(t, c.backend), c.edit, c.state)
+			address := newForeignPath(t, backendOf(t, c.backend), c.edit, c.state)
 			resp := callForeign(t, address, "c1")
 			assert.Equal(t, resp.StatusCode, c.status)
 			if c.status != http.StatusServiceUnavailable {
@@ -123,31 +125,13 @@
 // Guards against a caller who gets the status 504 for a call that its node's
 // neighbour refused for want of time, and so must not send it again.
 func TestRefusalForWantOfTimeIsAPromise(t *testing.T) {
-	guard := serveCalls(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header()[HeaderCall] = r.Header[HeaderCall]
-		notRun(http.StatusGatewayTimeout, ReasonDeadline, "too little time").later(40*time.Millisecond).write(w, &ownDialect)
+	address := serveCalls(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()[proxy.HeaderCall] = r.Header[proxy.HeaderCall]
+		proxy.NotRun(http.StatusGatewayTimeout, proxy.ReasonDeadline, "too little time").Later(40*time.Millisecond).Write(w, &proxy.OwnDialect)
 	}))
-	front := frontOf([]string{guard}, nil, newList())
-	front.cfg.Dialect = foreign
-	resp := callForeign(t, serveCalls(t, front), "c1")
+	cfg := frontConfig([]string{address}, nil)
+	cfg.Dialect = foreign
+	resp := callForeign(t, serveCalls(t, front.New(cfg)), "c1")
 	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, resp.Header.Get("Retry-After"), "0.040")
 }
-
-// Guards against calls that reach a backend server after the 2 s in which one
-// that leaves may still get them, also when they had waited for a slot.
-func TestNothingReachesAServerThatHasLeft(t *testing.T) {
-	runs := 0
-	backend := backendOf(t, func(w http.ResponseWriter, r *http.Request) {
-		runs++
-		echo(w, r)
-	})
-	_, guard := newForeignPath(t, backend, nil, &ServerState{Instance: "i-1"})
-	now := time.Now()
-	assert.Assert(t, guard.closed(now) == nil)
-	guard.SetServer(ServerState{Instance: "i-1", Leaving: now})
-	assert.Assert(t, guard.entryClosed(now) != nil, "new calls are refused at once")
-	assert.Assert(t, guard.closed(now.Add(leavingGrace)) == nil, "calls that wait for a slot have their grace")
-	assert.Assert(t, guard.closed(now.Add(leavingGrace+time.Millisecond)) != nil)
-	assert.Equal(t, runs, 0, fmt.Sprint(runs))
-}
--- a/internal/proxy/downstream_test.go
+++ b/internal/proxy/path/downstream_test.go
@@ -1,4 +1,4 @@
-package proxy
+package path_test
 
 import (
 	"net/http"
@@ -9,6 +9,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/front"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/guard"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 )
 
@@ -27,17 +30,14 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var ran atomic.Int64
-				below := &Downstream{}
+				below := &proxy.Downstream{}
 				w := newTestbed(t, "ab", counting(&ran, func(_ string, w http.ResponseWriter, _ *http.Request) {
 					time.Sleep(time.Millisecond)
 					if tc.fails {
-						below.noteFailure(time.Now())
+						below.NoteFailure(time.Now())
 					}
 					w.WriteHeader(http.StatusInternalServerError)
-				}), nil)
-				for _, n := range w.nodes {
-					n.guard.cfg.Downstream = below
-				}
+				}), nil, tuning{guard: func(_ string, cfg *guard.Config) { cfg.Downstream = below }})
 				got := w.call("GET", "/", "", nil)
 				assert.Equal(t, got.status, http.StatusInternalServerError)
 				assert.Equal(t, got.reason, tc.reason)
@@ -51,11 +51,11 @@
 // of a failed call.
 func TestFrontNotesFailures(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newTestbed(t, "a", nil, nil) // no backend server
-		w.front.cfg.Downstream = &Downstream{}
+		below := &proxy.Downstream{}
+		w := newTestbed(t, "a", nil, nil, tuning{front: func(cfg *front.Config) { cfg.Downstream = below }}) // no backend server
 		begun := time.Now()
-		assert.Assert(t, !w.front.cfg.Downstream.failedSince(begun))
+		assert.Assert(t, !below.FailedSince(begun))
 		w.call("GET", "/", "", nil)
-		assert.Assert(t, w.front.cfg.Downstream.failedSince(begun))
+		assert.Assert(t, below.FailedSince(begun))
 	})
 }
--- a/internal/proxy/fault_test.go
+++ b/internal/proxy/path/fault_test.go
@@ -1,4 +1,4 @@
-package proxy
+package path_test
 
 import (
 	"context"
@@ -17,6 +17,8 @@
 
 	"github.com/goldcrestshed/goldcrestshed/internal/admission"
 	"github.com/goldcrestshed/goldcrestshed/internal/jsonc"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/guard"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
@@ -50,21 +52,21 @@
 		fault   func(w *testbed) // before the call, after one call that warmed the connections
 		method  string
 		status  int
-		outcome Outcome
+		outcome proxy.Outcome
 		ran     int64
 	}{
-		{"backend down", "a", answerID, func(w *testbed) { w.net.kill("backend-a") }, "POST", 503, OutcomeNotRun, 0},
-		{"backend loses the call", "a", dropCall, nil, "POST", 502, OutcomeUnknown, 1},
-		{"backend hangs", "a", hang, nil, "POST", 504, OutcomeUnknown, 1},
-		{"backend silent on kept connections", "a", answerID, func(w *testbed) { w.net.silence("backend-a") }, "POST", 504, OutcomeUnknown, 0},
-		{"backend closed a kept connection", "a", answerID, func(w *testbed) { w.net.cut("backend-a") }, "POST", 200, OutcomeRan, 1},
-		{"node dead", "a", answerID, func(w *testbed) { w.net.kill("guard-a") }, "POST", 503, OutcomeNotRun, 0},
-		{"one node dead of two", "ab", answerID, func(w *testbed) { w.net.kill("guard-a") }, "POST", 200, OutcomeRan, 1},
-		{"node silent on kept connections", "a", answerID, func(w *testbed) { w.net.silence("guard-a") }, "POST", 504, OutcomeUnknown, 0},
-		{"node drains", "a", answerID, func(w *testbed) { w.nodes["a"].guard.Drain() }, "POST", 503, OutcomeNotRun, 0},
-		{"one node drains of two", "ab", answerID, func(w *testbed) { w.nodes["b"].guard.Drain() }, "POST", 200, OutcomeRan, 1},
-		{"every slot is taken", "a", answerID, func(w *testbed) { fill(w.nodes["a"].gate) }, "POST", 503, OutcomeNotRun, 0},
-		{"every server loses the call", "ab", dropCall, nil, "GET", 502, OutcomeUnknown, 2},
+		{"backend down", "a", answerID, func(w *testbed) { w.net.kill("backend-a") }, "POST", 503, proxy.OutcomeNotRun, 0},
+		{"backend loses the call", "a", dropCall, nil, "POST", 502, proxy.OutcomeUnknown, 1},
+		{"backend hangs", "a", hang, nil, "POST", 504, proxy.OutcomeUnknown, 1},
+		{"backend silent on kept connections", "a", answerID, func(w *testbed) { w.net.silence("backend-a") }, "POST", 504, proxy.OutcomeUnknown, 0},
+		{"backend closed a kept connection", "a", answerID, func(w *testbed) { w.net.cut("backend-a") }, "POST", 200, proxy.OutcomeRan, 1},
+		{"node dead", "a", answerID, func(w *testbed) { w.net.kill("guard-a") }, "POST", 503, proxy.OutcomeNotRun, 0},
+		{"one node dead of two", "ab", answerID, func(w *testbed) { w.net.kill("guard-a") }, "POST", 200, proxy.OutcomeRan, 1},
+		{"node silent on kept connections", "a", answerID, func(w *testbed) { w.net.silence("guard-a") }, "POST", 504, proxy.OutcomeUnknown, 0},
+		{"node drains", "a", answerID, func(w *testbed) { w.nodes["a"].guard.Drain() }, "POST", 503, proxy.OutcomeNotRun, 0},
+		{"one node drains of two", "ab", answerID, func(w *testbed) { w.nodes["b"].guard.Drain() }, "POST", 200, proxy.OutcomeRan, 1},
+		{"every slot is taken", "a", answerID, func(w *testbed) { fill(w.nodes["a"].gate) }, "POST", 503, proxy.OutcomeNotRun, 0},
+		{"every server loses the call", "ab", dropCall, nil, "GET", 502, proxy.OutcomeUnknown, 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -106,26 +108,27 @@
 func TestP5FirstSendingCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var ran, dials atomic.Int64
-		w := newTestbed(t, "a", counting(&ran, func(id string, w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/lose" {
-				dropCall(id, w, r)
-			}
-		}), func(r *snapshot.Route) { r.Service.Policy.Retries = 0 })
-		most := int64(1 + len(crashProbes))
-		link := NewLink(LinkConfig{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		const probes = 3 // connections by which the guard looks for a crash
+		most := int64(1 + probes)
+		var w *testbed
+		link := proxy.NewLink(proxy.LinkConfig{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if dials.Add(1) > most {
 				return nil, net.ErrClosed
 			}
 			return w.net.dial(ctx, network, address)
 		}})
 		t.Cleanup(link.Close)
-		w.nodes["a"].guard.cfg.Link = link
+		w = newTestbed(t, "a", counting(&ran, func(id string, w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/lose" {
+				dropCall(id, w, r)
+			}
+		}), func(r *snapshot.Route) { r.Service.Policy.Retries = 0 }, tuning{guard: func(_ string, cfg *guard.Config) { cfg.Link = link }})
 		for range 10 { // earns a resend
 			assert.Equal(t, w.call("GET", "/", "", nil).status, 200)
 		}
 		got := w.call("GET", "/lose", "", nil)
 		assert.Equal(t, dials.Load(), most+1)
-		assert.Equal(t, got.outcome, string(OutcomeUnknown), got.body)
+		assert.Equal(t, got.outcome, string(proxy.OutcomeUnknown), got.body)
 	})
 }
 
@@ -181,7 +184,7 @@
 				}
 				warm.Wait()
 				w.net.silence(address)
-				assert.Equal(t, w.call("POST", "/", "a", nil).outcome, string(OutcomeUnknown))
+				assert.Equal(t, w.call("POST", "/", "a", nil).outcome, string(proxy.OutcomeUnknown))
 				for range 5 {
 					assert.Equal(t, w.call("POST", "/", "a", nil).status, 200)
 				}
@@ -218,13 +221,13 @@
 		w := newTestbed(t, "a", nil, nil)
 		w.net.kill("guard-a")
 		w.serve("guard-a", &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(HeaderOutcome, string(OutcomeRan))
-			w.Header().Set(HeaderCall, "of-another")
+			w.Header().Set(proxy.HeaderOutcome, string(proxy.OutcomeRan))
+			w.Header().Set(proxy.HeaderCall, "of-another")
 			_, _ = io.WriteString(w, "secret")
 		})})
 		got := w.call("POST", "/", "", nil)
 		assert.Equal(t, got.status, 502)
-		assert.Equal(t, got.outcome, string(OutcomeUnknown))
+		assert.Equal(t, got.outcome, string(proxy.OutcomeUnknown))
 		assert.Assert(t, !strings.Contains(got.body, "secret"))
 	})
 }
@@ -322,9 +325,7 @@
 		var ran atomic.Int64
 		w := newTestbed(t, "a", counting(&ran, func(string, http.ResponseWriter, *http.Request) {
 			time.Sleep(5 * time.Millisecond)
-		}), nil)
-		full := admission.NewGate(admission.Config{Slots: 1})
-		w.nodes["a"].guard.cfg.Gate = full
+		}), nil, tuning{guard: func(_ string, cfg *guard.Config) { cfg.Gate = admission.NewGate(admission.Config{Slots: 1}) }})
 		go w.call("POST", "/", "a", nil)
 		time.Sleep(time.Millisecond)
 		got := w.call("POST", "/", "a", nil)
@@ -339,13 +340,14 @@
 func TestReturningServerStartsCold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var ran atomic.Int64
-		w := newTestbed(t, "a", counting(&ran, answerID), nil)
-		w.nodes["a"].guard.cfg.Gate = admission.NewGate(admission.Config{Slots: 18, ColdStart: 10 * time.Second})
-		slots := func() int { return w.nodes["a"].guard.cfg.Gate.Report(time.Now()).Slots }
+		w := newTestbed(t, "a", counting(&ran, answerID), nil, tuning{guard: func(_ string, cfg *guard.Config) {
+			cfg.Gate = admission.NewGate(admission.Config{Slots: 18, ColdStart: 10 * time.Second})
+		}})
+		slots := func() int { return w.nodes["a"].gate.Report(time.Now()).Slots }
 		assert.Equal(t, w.call("GET", "/", "", nil).status, 200)
 		assert.Equal(t, slots(), 18)
 		w.net.kill("backend-a")
-		assert.Equal(t, w.call("POST", "/", "a", nil).outcome, string(OutcomeNotRun))
+		assert.Equal(t, w.call("POST", "/", "a", nil).outcome, string(proxy.OutcomeNotRun))
 		w.serve("backend-a", &http.Server{Handler: counting(&ran, answerID)("a")})
 		time.Sleep(time.Second)
 		assert.Equal(t, w.call("GET", "/", "", nil).status, 200)
@@ -379,36 +381,36 @@
 		w := newTestbed(t, "a", func(string) http.Handler {
 			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				seen <- r.Header.Clone()
-				w.Header().Set(HeaderOutcome, string(OutcomeNotRun))
-				w.Header().Set(HeaderReason, "invented")
+				w.Header().Set(proxy.HeaderOutcome, string(proxy.OutcomeNotRun))
+				w.Header().Set(proxy.HeaderReason, "invented")
 			})
 		}, nil)
 		got := w.call("GET", "/", "", func(r *http.Request) {
-			r.Header.Set(HeaderDeadlineMs, "1000")
-			r.Header.Set(HeaderHops, "3")
-			r.Header.Set(HeaderPriority, "background")
-			r.Header.Set(HeaderKeyCaller, "any key")
-			r.Header.Set(HeaderKey, "forged")
-			r.Header.Set(HeaderHeld, "1")
+			r.Header.Set(proxy.HeaderDeadlineMs, "1000")
+			r.Header.Set(proxy.HeaderHops, "3")
+			r.Header.Set(proxy.HeaderPriority, "background")
+			r.Header.Set(proxy.HeaderKeyCaller, "any key")
+			r.Header.Set(proxy.HeaderKey, "forged")
+			r.Header.Set(proxy.HeaderHeld, "1")
 		})
-		assert.Equal(t, got.outcome, string(OutcomeRan))
+		assert.Equal(t, got.outcome, string(proxy.OutcomeRan))
 		assert.Equal(t, got.reason, "")
 		h := <-seen
-		assert.Equal(t, h.Get(HeaderDeadlineMs), "980")
-		assert.Equal(t, h.Get(HeaderHops), "4")
-		assert.Equal(t, h.Get(HeaderPriority), "background")
-		assert.DeepEqual(t, h.Values(HeaderKeyCaller), []string{"any key"})
-		for _, name := range []string{HeaderKey, HeaderRoute, HeaderOnce, HeaderHeld, HeaderCall, HeaderRepeat} {
+		assert.Equal(t, h.Get(proxy.HeaderDeadlineMs), "980")
+		assert.Equal(t, h.Get(proxy.HeaderHops), "4")
+		assert.Equal(t, h.Get(proxy.HeaderPriority), "background")
+		assert.DeepEqual(t, h.Values(proxy.HeaderKeyCaller), []string{"any key"})
+		for _, name := range []string{proxy.HeaderKey, proxy.HeaderRoute, proxy.HeaderOnce, proxy.HeaderHeld, proxy.HeaderCall, proxy.HeaderRepeat} {
 			assert.Equal(t, h.Get(name), "", name)
 		}
-		w.call("POST", "/", "", func(r *http.Request) { r.Header.Set(HeaderKey, "forged") })
-		assert.Equal(t, (<-seen).Get(HeaderKeyCaller), "")
-		got = w.call("GET", "/", "", func(r *http.Request) { r.Header.Set(HeaderDeadlineMs, "0") })
+		w.call("POST", "/", "", func(r *http.Request) { r.Header.Set(proxy.HeaderKey, "forged") })
+		assert.Equal(t, (<-seen).Get(proxy.HeaderKeyCaller), "")
+		got = w.call("GET", "/", "", func(r *http.Request) { r.Header.Set(proxy.HeaderDeadlineMs, "0") })
 		assert.Equal(t, got.status, http.StatusGatewayTimeout)
-		assert.Equal(t, got.outcome, string(OutcomeNotRun))
-		got = w.call("GET", "/", "", func(r *http.Request) { r.Header.Set(HeaderHops, "16") })
+		assert.Equal(t, got.outcome, string(proxy.OutcomeNotRun))
+		got = w.call("GET", "/", "", func(r *http.Request) { r.Header.Set(proxy.HeaderHops, "16") })
 		assert.Equal(t, got.status, http.StatusLoopDetected)
-		assert.Equal(t, got.outcome, string(OutcomeNotRun))
+		assert.Equal(t, got.outcome, string(proxy.OutcomeNotRun))
 	})
 }
 
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/path/harness_test.go
@@ -1,4 +1,4 @@
-package proxy
+package path_test
 
 import (
 	"bufio"
@@ -20,6 +20,9 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/balance"
 	"github.com/goldcrestshed/goldcrestshed/internal/jsonc"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/front"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/guard"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
@@ -32,7 +35,7 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	srv := NewServer(h)
+	srv := proxy.NewServer(h)
 	failOnPanic(t, &srv.Server)
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { _ = srv.Close() })
@@ -162,29 +165,29 @@
 
 // testNode is a front and a guard as one node has them.
 type testNode struct {
-	guard      *Guard
+	guard      *guard.Guard
 	gate       *admission.Gate
 	quarantine *quarantine.List
 	address    string // of the guard
 }
 
 // newTestNode returns a node beside a backend server.
-func newTestNode(t testing.TB, id, backend string, edit func(*GuardConfig)) *testNode {
+func newTestNode(t testing.TB, id, backend string, edit func(*guard.Config)) *testNode {
 	n := newNode(id, backend, edit)
 	n.address = serveCalls(t, n.guard)
 	return n
 }
 
-func newNode(id, backend string, edit func(*GuardConfig)) *testNode {
+func newNode(id, backend string, edit func(*guard.Config)) *testNode {
 	n := &testNode{gate: admission.NewGate(admission.Config{Slots: 18, Queue: 64}), quarantine: newList()}
-	cfg := GuardConfig{
-		Self: id, Address: backend, Link: NewLink(LinkConfig{MaxConns: 110}), Peers: NewLink(LinkConfig{}),
-		Gate: n.gate, Quarantine: n.quarantine, InFlight: quarantine.NewInFlight(),
+	cfg := guard.Config{
+		Self: id, Address: backend, Link: proxy.NewLink(proxy.LinkConfig{MaxConns: 110}), Peers: proxy.NewLink(proxy.LinkConfig{}),
+		Gate: n.gate, HopConfig: proxy.HopConfig{Quarantine: n.quarantine}, InFlight: quarantine.NewInFlight(),
 	}
 	if edit != nil {
 		edit(&cfg)
 	}
-	n.guard = NewGuard(cfg)
+	n.guard, n.gate = guard.New(cfg), cfg.Gate
 	return n
 }
 
@@ -194,16 +197,17 @@
 // callers.
 func newTestFront(t testing.TB, guards []string, edit func(*snapshot.Route)) string {
 	t.Helper()
-	return serveCalls(t, frontOf(guards, edit, newList()))
+	return serveCalls(t, front.New(frontConfig(guards, edit)))
 }
 
-func frontOf(guards []string, edit func(*snapshot.Route), list *quarantine.List) *Front {
+// frontConfig returns the configuration of a front that routes to guards.
+func frontConfig(guards []string, edit func(*snapshot.Route)) front.Config {
 	stats := balance.NewStats(balance.Config{})
-	return NewFront(FrontConfig{
-		Holder: holderOf(guards, edit), Link: NewLink(LinkConfig{}),
+	return front.Config{
+		Holder: holderOf(guards, edit), Link: proxy.NewLink(proxy.LinkConfig{}),
 		Balancer: balance.NewBalancer(stats, balance.Locality{}, rand.Uint64), Stats: stats,
-		Budgets: retry.NewBudgets(), Latencies: retry.NewLatencies(), Quarantine: list,
-	})
+		Budgets: retry.NewBudgets(), Latencies: retry.NewLatencies(), HopConfig: proxy.HopConfig{Quarantine: newList()},
+	}
 }
 
 // newPath puts both nodes before a backend server and returns the address for
--- a/internal/proxy/http_test.go
+++ b/internal/proxy/path/http_test.go
@@ -1,4 +1,4 @@
-package proxy
+package path_test
 
 import (
 	"bufio"
@@ -16,6 +16,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 )
 
 // TestP4CutAnswerIsNeverWhole guards against an answer that broke off and
@@ -108,7 +110,7 @@
 			conn, err := net.Dial("tcp", address)
 			assert.NilError(t, err)
 			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: "+testHost+"\r\n"+tt.header+"\r\n\r\n"+tt.body)
-			time.Sleep(5 * streamPrefixWait) // lets the beginning reach the backend server
+			time.Sleep(5 * prefixWait) // lets the beginning reach the backend server
 			_ = conn.(*net.TCPConn).CloseWrite()
 			_, _ = io.ReadAll(conn) // until the path has dealt with it
 			_ = conn.Close()
@@ -164,7 +166,7 @@
 	assert.Assert(t, strings.HasSuffix(text, "true "), "%q", text)
 	assert.Assert(t, !strings.Contains(text, "X-Drop"), "%q", text)
 	assert.Assert(t, !strings.Contains(text, "Content-Type"), "a content type was guessed: %q", text)
-	for _, want := range []string{"X-Keep: 1", "Set-Cookie: a", "Set-Cookie: b", HeaderOutcome + ": ran"} {
+	for _, want := range []string{"X-Keep: 1", "Set-Cookie: a", "Set-Cookie: b", proxy.HeaderOutcome + ": ran"} {
 		assert.Assert(t, strings.Contains(text, want), "%q lacks %q", text, want)
 	}
 }
@@ -298,6 +300,13 @@
 	})
 }
 
+const (
+	// prefixWait is how long a guard waits for the beginning of a streaming body.
+	prefixWait = 20 * time.Millisecond
+	// unreadBodyWait is how long the rest of a body may take after an early answer.
+	unreadBodyWait = time.Second
+)
+
 // TestEarlyAnswerToLongBody guards against a connection that breaks, or whose
 // next call is misread, after an answer that came before the end of a body.
 func TestEarlyAnswerToLongBody(t *testing.T) {
@@ -311,7 +320,7 @@
 				out, in := io.Pipe()
 				go func() {
 					_, _ = io.WriteString(in, strings.Repeat("a", size/2))
-					time.Sleep(3 * streamPrefixWait) // the answer comes first
+					time.Sleep(3 * prefixWait) // the answer comes first
 					_, _ = io.WriteString(in, strings.Repeat("b", size/2))
 					_ = in.Close()
 				}()
@@ -327,17 +336,17 @@
 // support reaching a backend server, and against refusals without outcome.
 func TestRefusedByHTTP(t *testing.T) {
 	address := newPath(t, backendOf(t, func(http.ResponseWriter, *http.Request) { t.Error("the call was passed on") }))
-	long := strings.Repeat("a", maxHeaderBytes)
+	long := strings.Repeat("a", proxy.MaxHeaderBytes)
 	for _, tt := range []struct {
 		name, text string
 		status     int
 		reason     string
 	}{
-		{"header", rawCall("GET / HTTP/1.1", "X-Long: "+long), 431, ReasonHeaderTooLarge},
-		{"path", rawCall("GET /" + long + " HTTP/1.1"), 431, ReasonHeaderTooLarge},
-		{"body", rawCall("POST / HTTP/1.1", "Content-Length: 2000000000"), 413, ReasonBodyTooLarge},
-		{"upgrade", "GET / HTTP/1.1\r\nHost: " + testHost + "\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n", 501, ReasonUpgrade},
-		{"connect", rawCall("CONNECT shop.example:80 HTTP/1.1"), 501, ReasonUpgrade},
+		{"header", rawCall("GET / HTTP/1.1", "X-Long: "+long), 431, proxy.ReasonHeaderTooLarge},
+		{"path", rawCall("GET /" + long + " HTTP/1.1"), 431, proxy.ReasonHeaderTooLarge},
+		{"body", rawCall("POST / HTTP/1.1", "Content-Length: 2000000000"), 413, proxy.ReasonBodyTooLarge},
+		{"upgrade", "GET / HTTP/1.1\r\nHost: " + testHost + "\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n", 501, proxy.ReasonUpgrade},
+		{"connect", rawCall("CONNECT shop.example:80 HTTP/1.1"), 501, proxy.ReasonUpgrade},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			conn, err := net.Dial("tcp", address)
@@ -349,8 +358,8 @@
 			assert.NilError(t, err)
 			defer resp.Body.Close()
 			assert.Equal(t, resp.StatusCode, tt.status)
-			assert.Equal(t, resp.Header.Get(HeaderOutcome), string(OutcomeNotRun))
-			var f Failure
+			assert.Equal(t, resp.Header.Get(proxy.HeaderOutcome), string(proxy.OutcomeNotRun))
+			var f proxy.Failure
 			assert.NilError(t, json.NewDecoder(resp.Body).Decode(&f))
 			assert.Equal(t, f.Reason, tt.reason)
 		})
@@ -365,24 +374,24 @@
 			ran := make(chan struct{}, 10)
 			address := scripted(t, func(c net.Conn, r *bufio.Reader, _ *http.Request) {
 				_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
-				if req, err := http.ReadRequest(r); err == nil && req.Header.Get(HeaderKeyCaller) == "k" {
+				if req, err := http.ReadRequest(r); err == nil && req.Header.Get(proxy.HeaderKeyCaller) == "k" {
 					ran <- struct{}{} // and the connection is lost
 				}
 			})
-			link := NewLink(LinkConfig{})
+			link := proxy.NewLink(proxy.LinkConfig{})
 			for i := range 2 {
 				req := newCall(t, method, address, "/", nil)
 				req.RequestURI = "/"
-				header := requestHeader(req)
-				header.Set(HeaderKeyCaller, "k")
-				hideRepeatKeys(header)
-				a, err := link.send(context.Background(), sending{address: address, in: req, header: header, wait: time.Second})
+				header := proxy.RequestHeader(req)
+				header.Set(proxy.HeaderKeyCaller, "k")
+				proxy.HideRepeatKeys(header)
+				a, err := link.Send(context.Background(), proxy.Sending{Address: address, Request: req, Header: header, Wait: time.Second})
 				if i == 0 {
 					assert.Assert(t, err == nil)
 					a.Close()
 					continue
 				}
-				assert.Assert(t, err != nil && err.sent && err.reused)
+				assert.Assert(t, err != nil && err.Sent && err.Reused)
 			}
 			assert.Equal(t, len(ran), 1)
 		})
@@ -402,11 +411,11 @@
 	defer conn.Close()
 	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: "+testHost+"\r\nTransfer-Encoding: chunked\r\n\r\n4\r\naaaa\r\n")
 	assert.NilError(t, err)
-	time.Sleep(5 * streamPrefixWait) // the answer arrives and is not read
+	time.Sleep(5 * prefixWait) // the answer arrives and is not read
 	for range 5 {
 		_, err = io.WriteString(conn, "4\r\nbbbb\r\n")
 		assert.NilError(t, err)
-		time.Sleep(streamPrefixWait)
+		time.Sleep(prefixWait)
 	}
 	_, err = io.WriteString(conn, "0\r\n\r\n")
 	assert.NilError(t, err)
--- a/internal/proxy/network_test.go
+++ b/internal/proxy/path/network_test.go
@@ -1,4 +1,4 @@
-package proxy
+package path_test
 
 import (
 	"context"
@@ -13,6 +13,9 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/front"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/guard"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
 
@@ -164,34 +167,45 @@
 	t      *testing.T
 	net    *testNetwork
 	nodes  map[string]*testNode
-	front  *Front
+	front  front.Config
 	client *http.Client
 }
 
+// tuning changes the configuration of a testbed's front and guards.
+type tuning struct {
+	front func(*front.Config)
+	guard func(id string, cfg *guard.Config)
+}
+
 // newTestbed starts nodes a, b, ... whose backend servers run the handler. The
 // addresses are front, guard-a and backend-a.
-func newTestbed(t *testing.T, ids string, handler func(id string) http.Handler, edit func(*snapshot.Route)) *testbed {
+func newTestbed(t *testing.T, ids string, handler func(id string) http.Handler, edit func(*snapshot.Route), tunings ...tuning) *testbed {
 	w := &testbed{t: t, net: newTestNetwork(), nodes: map[string]*testNode{}}
 	var guards []string
 	for _, id := range strings.Split(ids, "") {
 		if handler != nil {
 			w.serve("backend-"+id, &http.Server{Handler: handler(id)})
 		}
-		n := w.node(id)
+		n := w.node(id, tunings)
 		w.nodes[id] = n
 		guards = append(guards, "guard-"+id+port)
 	}
-	w.front = frontOf(guards, edit, newList())
-	w.front.cfg.Link = w.link(0)
-	w.serve("front", &NewServer(w.front).Server)
+	w.front = frontConfig(guards, edit)
+	w.front.Link = w.link(0)
+	for _, tune := range tunings {
+		if tune.front != nil {
+			tune.front(&w.front)
+		}
+	}
+	w.serve("front", &proxy.NewServer(front.New(w.front)).Server)
 	tr := &http.Transport{DialContext: w.net.dial, DisableCompression: true}
 	w.client = &http.Client{Transport: tr}
 	t.Cleanup(tr.CloseIdleConnections)
 	return w
 }
 
-func (w *testbed) link(max int) *Link {
-	l := NewLink(LinkConfig{Dial: w.net.dial, MaxConns: max})
+func (w *testbed) link(max int) *proxy.Link {
+	l := proxy.NewLink(proxy.LinkConfig{Dial: w.net.dial, MaxConns: max})
 	w.t.Cleanup(l.Close)
 	return l
 }
@@ -204,12 +218,17 @@
 	w.t.Cleanup(func() { _ = srv.Close() })
 }
 
-func (w *testbed) node(id string) *testNode {
-	n := newNode(id, "backend-"+id+port, func(cfg *GuardConfig) {
+func (w *testbed) node(id string, tunings []tuning) *testNode {
+	n := newNode(id, "backend-"+id+port, func(cfg *guard.Config) {
 		cfg.Link = w.link(110)
 		cfg.Peers = w.link(0)
+		for _, tune := range tunings {
+			if tune.guard != nil {
+				tune.guard(id, cfg)
+			}
+		}
 	})
-	w.serve("guard-"+id, &NewServer(n.guard).Server)
+	w.serve("guard-"+id, &proxy.NewServer(n.guard).Server)
 	stop := make(chan struct{})
 	go func() { // the node's tick
 		tick := time.NewTicker(10 * time.Millisecond)
@@ -257,7 +276,7 @@
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	return told{
-		status: resp.StatusCode, outcome: resp.Header.Get(HeaderOutcome), reason: resp.Header.Get(HeaderReason),
+		status: resp.StatusCode, outcome: resp.Header.Get(proxy.HeaderOutcome), reason: resp.Header.Get(proxy.HeaderReason),
 		body: string(data), err: err, took: time.Since(begun),
 	}
 }
--- a/internal/proxy/once_test.go
+++ b/internal/proxy/path/once_test.go
@@ -1,4 +1,4 @@
-package proxy
+package path_test
 
 import (
 	"context"
@@ -16,6 +16,8 @@
 
 	"github.com/goldcrestshed/goldcrestshed/internal/once"
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/guard"
 	"github.com/goldcrestshed/goldcrestshed/internal/standin"
 )
 
@@ -28,25 +30,37 @@
 	alive map[string]context.CancelFunc // ends the claims of a node
 }
 
+// nodeClaims is what one node claims keys with.
+type nodeClaims struct {
+	batcher     *once.Batcher
+	coordinator *once.Coordinator
+}
+
 func newClaimTestbed(t *testing.T, ids string, handler func(string) http.Handler) *claimTestbed {
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	w := &claimTestbed{testbed: newTestbed(t, ids, handler, nil), stop: stop, alive: map[string]context.CancelFunc{}}
+	w := &claimTestbed{stop: stop, alive: map[string]context.CancelFunc{}}
+	claims := map[string]*nodeClaims{}
+	w.testbed = newTestbed(t, ids, handler, nil, tuning{guard: func(id string, cfg *guard.Config) {
+		claims[id] = &nodeClaims{}
+		cfg.Once = once.NewCoordinator(once.CoordinatorConfig{
+			Self:  once.Holder{Node: id, Incarnation: 1},
+			Reach: func(int) (once.Claimer, error) { return claims[id].batcher, nil },
+		})
+		claims[id].coordinator = cfg.Once
+		cfg.GuardOf = w.guardOf
+	}})
 	w.log = standin.NewLog(time.Hour, time.Now)
 	w.serve("log", &http.Server{Handler: w.log.Handler()})
 	tr := &http.Transport{DialContext: w.net.dial}
 	t.Cleanup(tr.CloseIdleConnections)
 	log := platformlog.NewClient("log", tr)
-	for id, n := range w.nodes {
+	for id, c := range claims {
 		nodeCtx, kill := context.WithCancel(ctx)
 		w.alive[id] = kill
-		batcher := once.NewBatcher(once.BatcherConfig{Partition: testPartition}, log)
-		go func() { _ = batcher.Run(nodeCtx) }()
-		n.guard.cfg.Once = once.NewCoordinator(once.CoordinatorConfig{
-			Self: once.Holder{Node: id, Incarnation: 1}, Reach: func(int) (once.Claimer, error) { return batcher, nil },
-		})
-		n.guard.cfg.GuardOf = w.guardOf
-		go func() { _ = n.guard.cfg.Once.Run(nodeCtx) }()
+		c.batcher = once.NewBatcher(once.BatcherConfig{Partition: testPartition}, log)
+		go func() { _ = c.batcher.Run(nodeCtx) }()
+		go func() { _ = c.coordinator.Run(nodeCtx) }()
 	}
 	time.Sleep(time.Minute) // the streams' first records are older than the keys
 	return w
@@ -89,7 +103,7 @@
 }
 
 func (w *claimTestbed) book(key string) told {
-	return w.call("POST", "/book", "deposit", func(r *http.Request) { r.Header.Set(HeaderKeyCaller, key) })
+	return w.call("POST", "/book", "deposit", func(r *http.Request) { r.Header.Set(proxy.HeaderKeyCaller, key) })
 }
 
 // TestP6RunsAtMostOnce guards against a second run of a keyed call, under
@@ -173,7 +187,7 @@
 			all.Go(func() {
 				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
 				answers <- w.call("POST", "/book", "deposit", func(r *http.Request) {
-					r.Header.Set(HeaderKeyCaller, key)
+					r.Header.Set(proxy.HeaderKeyCaller, key)
 					if i == 0 {
 						ctx, cancel := context.WithTimeout(r.Context(), 300*time.Millisecond)
 						t.Cleanup(cancel)
@@ -203,14 +217,14 @@
 		key := newKey()
 		w.net.kill("backend-a")
 		got := w.book(key)
-		assert.Equal(t, got.outcome, string(OutcomeNotRun), got.body)
+		assert.Equal(t, got.outcome, string(proxy.OutcomeNotRun), got.body)
 		w.serve("backend-a", &http.Server{Handler: counting(&ran, answerID)("a")})
 		time.Sleep(time.Second)
 		got = w.book(key)
-		assert.Equal(t, got.outcome, string(OutcomeRan), got.body)
+		assert.Equal(t, got.outcome, string(proxy.OutcomeRan), got.body)
 		w.nodes["a"].guard.Drain()
 		got = w.book(key)
-		assert.Equal(t, got.outcome, string(OutcomeRan), "a repeat at a node that drains: %s", got.body)
+		assert.Equal(t, got.outcome, string(proxy.OutcomeRan), "a repeat at a node that drains: %s", got.body)
 		assert.Equal(t, ran.Load(), int64(1))
 		w.stop()
 	})
--- a/internal/proxy/poison_test.go
+++ b/internal/proxy/path/poison_test.go
@@ -1,4 +1,4 @@
-package proxy
+package path_test
 
 import (
 	"context"
@@ -13,6 +13,9 @@
 
 	"github.com/goldcrestshed/goldcrestshed/internal/balance"
 	"github.com/goldcrestshed/goldcrestshed/internal/jsonc"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/front"
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy/guard"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 	"github.com/goldcrestshed/goldcrestshed/internal/standin"
@@ -26,9 +29,18 @@
 		t.Run(method, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
-				w := newTestbed(t, "abcd", nil, nil)
+				var nodes map[string]*testNode
+				spread := func(news []quarantine.Entry) {
+					for _, n := range nodes {
+						n.quarantine.Merge(news, time.Now())
+					}
+				}
+				w := newTestbed(t, "abcd", nil, nil, tuning{guard: func(_ string, cfg *guard.Config) {
+					cfg.News = spread
+				}})
+				nodes = w.nodes
 				crashes := func() int64 { return 0 }
-				for id, n := range w.nodes {
+				for id := range w.nodes {
 					b := standin.NewBackend(id, 18, time.Millisecond)
 					b.SetFaults(standin.BackendFaults{CrashOn: "poison", CrashForMs: 500})
 					ln, err := w.net.listen("backend-" + id)
@@ -36,11 +48,6 @@
 					go func() { _ = b.Serve(ctx, ln, w.net.listen) }()
 					before := crashes
 					crashes = func() int64 { return before() + b.Crashes() }
-					n.guard.cfg.News = func(news []quarantine.Entry) {
-						for _, other := range w.nodes {
-							other.quarantine.Merge(news, time.Now())
-						}
-					}
 				}
 				for range 20 {
 					w.call("GET", "/harmless", "", nil)
@@ -48,14 +55,16 @@
 				var last told
 				for range 50 {
 					if method == "POST" { // each call through another node, which knows nothing yet
-						w.front.cfg.Quarantine = newList()
+						w.net.kill("front")
+						w.front.Quarantine = newList()
+						w.serve("front", &proxy.NewServer(front.New(w.front)).Server)
 					}
 					last = w.call(method, "/poison?a=1", "", nil)
 					time.Sleep(100 * time.Millisecond)
 				}
 				assert.Assert(t, crashes() <= 3, "%d servers crashed", crashes())
-				assert.Equal(t, last.reason, ReasonQuarantined, last.body)
-				assert.Equal(t, last.outcome, string(OutcomeNotRun))
+				assert.Equal(t, last.reason, proxy.ReasonQuarantined, last.body)
+				assert.Equal(t, last.outcome, string(proxy.OutcomeNotRun))
 				time.Sleep(time.Second)
 				assert.Equal(t, w.call("GET", "/harmless", "", nil).status, 200)
 				stop()
@@ -85,7 +94,7 @@
 		for len(states) > 0 {
 			<-states
 		}
-		list := w.front.cfg.Quarantine
+		list := w.front.Quarantine
 		list.Crash("elsewhere", []quarantine.Fingerprint{fp}, time.Now())
 		assert.Equal(t, w.call("GET", "/suspect", "", nil).status, 200)
 		assert.Equal(t, len(states), 1)
@@ -104,19 +113,19 @@
 			_ = http.NewResponseController(w).Flush()
 			time.Sleep(10 * time.Second)
 		}), nil)
-		view := func() balance.View { return w.front.cfg.Stats.Views()[0] }
+		view := func() balance.View { return w.front.Stats.Views()[0] }
 		fp := quarantine.NewFingerprint("GET", testHost, "/poison", "", nil)
 		for _, server := range []string{"x", "y", "z"} {
 			w.nodes["a"].quarantine.Crash(server, []quarantine.Fingerprint{fp}, time.Now())
 		}
-		assert.Equal(t, w.call("GET", "/poison", "", nil).outcome, string(OutcomeNotRun))
+		assert.Equal(t, w.call("GET", "/poison", "", nil).outcome, string(proxy.OutcomeNotRun))
 		assert.Assert(t, view().SteerUntil.IsZero())
 		var done sync.WaitGroup
 		done.Go(func() { w.call("GET", "/download", "", nil) })
 		time.Sleep(time.Second)
 		assert.Equal(t, view().InFlight, 0)
 		fill(w.nodes["a"].gate)
-		assert.Equal(t, w.call("GET", "/", "", nil).outcome, string(OutcomeNotRun))
+		assert.Equal(t, w.call("GET", "/", "", nil).outcome, string(proxy.OutcomeNotRun))
 		assert.Assert(t, !view().SteerUntil.IsZero())
 		done.Wait()
 	})
--- /dev/null
+++ b/internal/proxy/quarantine.go
@@ -0,0 +1,29 @@
+package proxy
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
+)
+
+// suspectRetryAfter is about the time that a call of a suspect takes.
+const suspectRetryAfter = 100 * time.Millisecond
+
+// QuarantineRefusal returns the answer to a request that quarantine does not admit.
+func QuarantineRefusal(a quarantine.Admission, v quarantine.Verdict, now time.Time) *Failure {
+	switch a {
+	case quarantine.Refused:
+		return NotRun(http.StatusServiceUnavailable, ReasonQuarantined, "this request has crashed backend servers").Later(v.Until.Sub(now))
+	case quarantine.Busy:
+		return NotRun(http.StatusServiceUnavailable, ReasonSuspectBusy, "this request may have crashed a backend server and is being tried").Later(suspectRetryAfter)
+	}
+	return nil
+}
+
+// FingerprintOf returns the fingerprint of a call, the same at each node.
+func FingerprintOf(r *http.Request, body []byte) quarantine.Fingerprint {
+	path, query, _ := strings.Cut(originForm(r), "?")
+	return quarantine.NewFingerprint(r.Method, r.Host, path, query, body)
+}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// pieceBytes is the most that is copied at once.
-const pieceBytes = 32 << 10
+// PieceBytes is the most that is copied at once.
+const PieceBytes = 32 << 10
 
 // The header of an answer of up to promptBytes waits for its body for
 // promptWait, since both usually come in one packet.
@@ -20,15 +20,15 @@
 	promptWait  = time.Millisecond
 )
 
-var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
+var pieces = sync.Pool{New: func() any { return new([PieceBytes]byte) }}
 
-// errCaller marks a failure to write to the caller.
-var errCaller = errors.New("the caller does not take the answer")
+// ErrCaller marks a failure to write to the caller.
+var ErrCaller = errors.New("the caller does not take the answer")
 
-// relay copies an answer to the caller and returns the bytes of its body.
+// Relay copies an answer to the caller and returns the bytes of its body.
 // After an error the answer is not whole and the caller's connection must be
 // aborted.
-func relay(w http.ResponseWriter, r *http.Request, a *answer) (int64, error) {
+func Relay(w http.ResponseWriter, r *http.Request, a *Answer) (int64, error) {
 	rc := http.NewResponseController(w)
 	writeHeader(w, r, a)
 	if r.Method == http.MethodHead || a.ContentLength == 0 {
@@ -47,9 +47,9 @@
 	return n, nil
 }
 
-func writeHeader(w http.ResponseWriter, r *http.Request, a *answer) {
+func writeHeader(w http.ResponseWriter, r *http.Request, a *Answer) {
 	h := w.Header()
-	copyEndToEnd(h, a.Header)
+	CopyEndToEnd(h, a.Header)
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps net/http from guessing one
 	}
@@ -66,12 +66,12 @@
 
 // closeDelimited reports whether only the end of the connection ends the
 // body.
-func closeDelimited(a *answer) bool {
+func closeDelimited(a *Answer) bool {
 	return a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Request.Method != http.MethodHead
 }
 
 // drainEmpty ends an exchange whose answer has no body.
-func drainEmpty(w http.ResponseWriter, a *answer) error {
+func drainEmpty(w http.ResponseWriter, a *Answer) error {
 	if _, err := a.Read(make([]byte, 1)); err != io.EOF {
 		return errors.Wrap(err, "read answer")
 	}
@@ -101,7 +101,7 @@
 	}
 }
 
-// stop must come before the answer is written to.
+// Stop must come before the answer is written to.
 func (l *lateHeader) stop() {
 	if l == nil {
 		return
@@ -115,8 +115,8 @@
 // copyBody passes each piece on at once, since streams may pause between
 // pieces. The last piece of a body of known length leaves with the end of the
 // answer.
-func copyBody(w io.Writer, rc *http.ResponseController, a *answer) (int64, error) {
-	piece := pieces.Get().(*[pieceBytes]byte)
+func copyBody(w io.Writer, rc *http.ResponseController, a *Answer) (int64, error) {
+	piece := pieces.Get().(*[PieceBytes]byte)
 	defer pieces.Put(piece)
 	var total int64
 	var late *lateHeader
@@ -144,7 +144,7 @@
 func writePiece(w io.Writer, rc *http.ResponseController, p []byte, more bool) error {
 	_ = rc.SetWriteDeadline(time.Now().Add(progressTimeout))
 	if _, err := w.Write(p); err != nil {
-		return errors.Mark(errors.Wrap(err, "write answer"), errCaller)
+		return errors.Mark(errors.Wrap(err, "write answer"), ErrCaller)
 	}
 	if !more {
 		return nil
@@ -154,13 +154,13 @@
 
 func flush(rc *http.ResponseController) error {
 	if err := rc.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return errors.Mark(errors.Wrap(err, "write answer"), errCaller)
+		return errors.Mark(errors.Wrap(err, "write answer"), ErrCaller)
 	}
 	return nil
 }
 
 // writeTrailer passes the trailers on, those that were not announced too.
-func writeTrailer(h http.Header, a *answer) {
+func writeTrailer(h http.Header, a *Answer) {
 	announced := make(map[string]bool)
 	for _, name := range h["Trailer"] {
 		announced[name] = true
@@ -173,10 +173,10 @@
 	}
 }
 
-// abort breaks the caller's connection, so that a cut answer cannot pass as
+// Abort breaks the caller's connection, so that a cut answer cannot pass as
 // whole. HTTP/1 connections are reset, since the end of the connection is
 // how some bodies end.
-func abort(w http.ResponseWriter, r *http.Request) {
+func Abort(w http.ResponseWriter, r *http.Request) {
 	if r.ProtoMajor != 1 {
 		panic(http.ErrAbortHandler)
 	}
@@ -191,30 +191,30 @@
 	_ = conn.Close()
 }
 
-// earlyHints passes 1xx answers on until the final answer is chosen. They
+// EarlyHints passes 1xx answers on until the final answer is chosen. They
 // arrive on the goroutine that reads from the backend server.
-type earlyHints struct {
-	mu   sync.Mutex
-	w    http.ResponseWriter
-	done bool // guarded by mu
+type EarlyHints struct {
+	mu     sync.Mutex
+	Writer http.ResponseWriter
+	done   bool // guarded by mu
 }
 
-// pass writes one informational answer. 100 is left to net/http, which sends
+// Pass writes one informational answer. 100 is left to net/http, which sends
 // it when the body is first read.
-func (e *earlyHints) pass(code int, header textproto.MIMEHeader) {
+func (e *EarlyHints) Pass(code int, header textproto.MIMEHeader) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.done || code == http.StatusContinue {
 		return
 	}
-	h := e.w.Header()
-	copyEndToEnd(h, http.Header(header))
-	e.w.WriteHeader(code)
+	h := e.Writer.Header()
+	CopyEndToEnd(h, http.Header(header))
+	e.Writer.WriteHeader(code)
 	clear(h)
 }
 
-// stop ends the passing of informational answers.
-func (e *earlyHints) stop() {
+// Stop ends the passing of informational answers.
+func (e *EarlyHints) Stop() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.done = true
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/sending.go
@@ -17,55 +17,59 @@
 // written.
 const progressTimeout = 15 * time.Second
 
-// lateAnswerLimit is how long after a call's deadline the body of an answer
+// LateAnswerLimit is how long after a call's deadline the body of an answer
 // may still arrive.
-const lateAnswerLimit = 300 * time.Millisecond
+const LateAnswerLimit = 300 * time.Millisecond
 
 // silentIdle is the idle time from which a connection may have gone silent
 // unnoticed.
 const silentIdle = time.Second
 
+// LeastAttempt is the least time in which another attempt can succeed: a
+// connection, two hops and a fast answer.
+const LeastAttempt = 5 * time.Millisecond
+
 // Errors that say in which phase a sending failed.
 var (
 	errConnect   = errors.New("no connection")
 	errFirstByte = errors.New("no answer within the time limit")
-	errProgress  = errors.New("the body made no progress")
-	errLost      = errors.New("another sending of the call answered first")
-	errMismatch  = errors.New("the answer belongs to another call")
+	ErrProgress  = errors.New("the body made no progress")
+	ErrLost      = errors.New("another sending of the call answered first")
+	ErrMismatch  = errors.New("the answer belongs to another call")
 )
 
-// sending is one transmission of a call to an address.
-type sending struct {
-	address string
-	in      *http.Request
-	header  http.Header
-	body    *keptBody
-	wait    time.Duration // limit until the first byte of the answer
-	// idleWait is the limit when the connection had been idle for a while and
+// Sending is one transmission of a call to an address.
+type Sending struct {
+	Address string
+	Request *http.Request
+	Header  http.Header
+	Body    *Body
+	Wait    time.Duration // limit until the first byte of the answer
+	// IdleWait is the limit when the connection had been idle for a while and
 	// may have gone silent; 0 stands for wait.
-	idleWait time.Duration
-	fresh    bool // on a new connection
-	// maxIdle is how long a connection may have been idle that the call is
-	// sent on; 0 sets no bound. A server may close an idle connection while
+	IdleWait time.Duration
+	Fresh    bool // on a new connection
+	// MaxIdle is how long a connection may have been idle that the call is
+	// Sent on; 0 sets no bound. A server may close an idle connection while
 	// the call is on its way.
-	maxIdle time.Duration
-	early   func(code int, header textproto.MIMEHeader)
+	MaxIdle time.Duration
+	Early   func(code int, header textproto.MIMEHeader)
 }
 
-// answer is an answer whose body is still open. Reading resets the time limit
+// Answer is an answer whose body is still open. Reading resets the time limit
 // of the body.
-type answer struct {
+type Answer struct {
 	*http.Response
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
-	until  time.Time // end of the whole answer; zero sets none
+	Until  time.Time // end of the whole answer; zero sets none
 }
 
 // Read implements io.Reader.
-func (a *answer) Read(p []byte) (int, error) {
+func (a *Answer) Read(p []byte) (int, error) {
 	limit := progressTimeout
-	if !a.until.IsZero() {
-		limit = min(limit, max(time.Until(a.until), 0))
+	if !a.Until.IsZero() {
+		limit = min(limit, max(time.Until(a.Until), 0))
 	}
 	a.timer.Reset(limit)
 	return a.Body.Read(p)
@@ -73,7 +77,7 @@
 
 // Close ends the exchange. A body that has not been read to its end closes
 // the connection.
-func (a *answer) Close() {
+func (a *Answer) Close() {
 	a.timer.Stop()
 	_ = a.Body.Close()
 	a.cancel(nil)
@@ -83,33 +87,33 @@
 // the connection.
 const discardBytes = 4 << 10
 
-// discard ends the exchange and keeps the connection when the body is small.
-func (a *answer) discard() {
+// Discard ends the exchange and keeps the connection when the body is small.
+func (a *Answer) Discard() {
 	if a.ContentLength >= 0 && a.ContentLength <= discardBytes {
 		_, _ = io.Copy(io.Discard, a)
 	}
 	a.Close()
 }
 
-// sendError tells how far a sending got.
-type sendError struct {
-	cause     error
-	sent      bool          // a byte of the call may have reached the other side
-	reused    bool          // the connection had served other calls before
+// SendError tells how far a sending got.
+type SendError struct {
+	Cause     error
+	Sent      bool          // a byte of the call may have reached the other side
+	Reused    bool          // the connection had served other calls before
 	idle      time.Duration // time that a reused connection had been idle
-	connected bool
-	timedOut  bool // no answer within sending.wait
-	canceled  bool // by the caller or by a faster sending
+	Connected bool
+	TimedOut  bool // no answer within sending.wait
+	Canceled  bool // by the caller or by a faster sending
 }
 
 // Error implements error.
-func (e *sendError) Error() string { return e.cause.Error() }
+func (e *SendError) Error() string { return e.Cause.Error() }
 
 // Unwrap returns the cause.
-func (e *sendError) Unwrap() error { return e.cause }
+func (e *SendError) Unwrap() error { return e.Cause }
 
-// refused reports whether no connection could be opened.
-func (e *sendError) refused() bool { return errors.Is(e.cause, errConnect) }
+// Refused reports whether no connection could be opened.
+func (e *SendError) Refused() bool { return errors.Is(e.Cause, errConnect) }
 
 // exchange follows the connections of one sending.
 type exchange struct {
@@ -138,18 +142,18 @@
 	x.conn.Store(conn)
 }
 
-// send sends a call and waits for the header of the answer.
-func (l *Link) send(ctx context.Context, s sending) (*answer, *sendError) {
+// Send sends a call and waits for the header of the answer.
+func (l *Link) Send(ctx context.Context, s Sending) (*Answer, *SendError) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(s.wait, func() { cancel(errFirstByte) })
-	x := &exchange{link: l, timer: timer, idleWait: s.idleWait, maxIdle: s.maxIdle}
-	out, err := s.request(httptrace.WithClientTrace(ctx, x.trace(s.early)))
+	timer := time.AfterFunc(s.Wait, func() { cancel(errFirstByte) })
+	x := &exchange{link: l, timer: timer, idleWait: s.IdleWait, maxIdle: s.MaxIdle}
+	out, err := s.request(httptrace.WithClientTrace(ctx, x.trace(s.Early)))
 	if err != nil {
 		timer.Stop()
 		cancel(nil)
-		return nil, &sendError{cause: err}
+		return nil, &SendError{Cause: err}
 	}
-	resp, err := l.roundTripper(s.fresh).RoundTrip(out)
+	resp, err := l.roundTripper(s.Fresh).RoundTrip(out)
 	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
 		_ = resp.Body.Close()
 		err = errors.New("the backend server switched protocols unasked")
@@ -158,13 +162,13 @@
 		failure := x.failure(err, context.Cause(ctx))
 		timer.Stop()
 		cancel(nil)
-		if failure.timedOut && failure.reused {
-			l.Distrust(s.address, time.Now())
+		if failure.TimedOut && failure.Reused {
+			l.Distrust(s.Address, time.Now())
 		}
 		return nil, failure
 	}
 	timer.Reset(progressTimeout)
-	return &answer{Response: resp, cancel: cancel, timer: timer}, nil
+	return &Answer{Response: resp, cancel: cancel, timer: timer}, nil
 }
 
 func (l *Link) roundTripper(fresh bool) http.RoundTripper {
@@ -186,38 +190,38 @@
 }
 
 // failure seals the connection first, so that what it reports stays true.
-func (x *exchange) failure(err, cause error) *sendError {
-	e := &sendError{cause: errors.Wrap(err, "send call"), timedOut: errors.Is(cause, errFirstByte)}
-	e.canceled = cause != nil && !e.timedOut
+func (x *exchange) failure(err, cause error) *SendError {
+	e := &SendError{Cause: errors.Wrap(err, "send call"), TimedOut: errors.Is(cause, errFirstByte)}
+	e.Canceled = cause != nil && !e.TimedOut
 	conn := x.conn.Load()
 	if conn == nil {
 		return e
 	}
 	info := x.info.Load()
-	e.connected, e.reused, e.idle = true, info.Reused, info.IdleTime
-	e.sent = conn.seal()
+	e.Connected, e.Reused, e.idle = true, info.Reused, info.IdleTime
+	e.Sent = conn.seal()
 	return e
 }
 
 // request makes the outgoing request. net/http must neither change nor repeat
 // it.
-func (s *sending) request(ctx context.Context) (*http.Request, error) {
-	u, err := targetOf(s.address, s.in)
+func (s *Sending) request(ctx context.Context) (*http.Request, error) {
+	u, err := targetOf(s.Address, s.Request)
 	if err != nil {
 		return nil, err
 	}
 	out := (&http.Request{
-		Method: s.in.Method, URL: u, Host: s.in.Host, Header: s.header,
+		Method: s.Request.Method, URL: u, Host: s.Request.Host, Header: s.Header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}).WithContext(ctx)
 	s.setBody(out)
 	return out, nil
 }
 
-func (s *sending) setBody(out *http.Request) {
-	if s.body != nil {
-		out.ContentLength = s.in.ContentLength
-		out.Body = s.body.forSending(out)
+func (s *Sending) setBody(out *http.Request) {
+	if s.Body != nil {
+		out.ContentLength = s.Request.ContentLength
+		out.Body = s.Body.forSending(out)
 		return
 	}
 	switch out.Method {
@@ -233,9 +237,9 @@
 // without a body for one that it may repeat.
 var repeatKeys = []string{HeaderKeyCaller, "X-Idempotency-Key"}
 
-// hideRepeatKeys renames these headers to lower case, which HTTP holds to be
+// HideRepeatKeys renames these headers to lower case, which HTTP holds to be
 // the same name and Transport does not look for.
-func hideRepeatKeys(h http.Header) {
+func HideRepeatKeys(h http.Header) {
 	for _, name := range repeatKeys {
 		if values, ok := h[name]; ok {
 			delete(h, name)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -12,7 +12,7 @@
 	callerIdleTimeout = time.Minute
 	// netHTTPHeaderBytes lies above maxHeaderBytes, so that calls somewhat
 	// over the limit get our answer in place of net/http's text.
-	netHTTPHeaderBytes = 4 * maxHeaderBytes
+	netHTTPHeaderBytes = 4 * MaxHeaderBytes
 	// unreadBodyWait is how long a caller may take to send the rest of a body
 	// that was not wanted, before its connection is closed.
 	unreadBodyWait = time.Second
@@ -35,15 +35,15 @@
 // Serve accepts the connections of callers on ln.
 func (s *Server) Serve(ln net.Listener) error { return s.Server.Serve(callerListener{ln}) }
 
-// beginCall readies the connection of a call.
-func beginCall(w http.ResponseWriter) *http.ResponseController {
+// BeginCall readies the connection of a call.
+func BeginCall(w http.ResponseWriter) *http.ResponseController {
 	rc := http.NewResponseController(w)
 	_ = rc.SetWriteDeadline(time.Time{}) // the last answer on the connection may have left one
 	return rc
 }
 
-// endCall bounds the wait for the rest of a body that nobody reads.
-func endCall(rc *http.ResponseController, r *http.Request) {
+// EndCall bounds the wait for the rest of a body that nobody reads.
+func EndCall(rc *http.ResponseController, r *http.Request) {
 	if r.ContentLength == 0 {
 		return
 	}
@@ -52,9 +52,9 @@
 	_ = rc.SetReadDeadline(until)
 }
 
-// prepare takes a small body whole and readies the connection for a body that
+// Prepare takes a small body whole and readies the connection for a body that
 // streams. It returns the writer to answer with.
-func (b *keptBody) prepare(w http.ResponseWriter, rc *http.ResponseController, deadline time.Time) (http.ResponseWriter, error) {
+func (b *Body) Prepare(w http.ResponseWriter, rc *http.ResponseController, deadline time.Time) (http.ResponseWriter, error) {
 	switch {
 	case b == nil:
 		return w, nil
@@ -74,7 +74,7 @@
 // body ends after its handler has returned.
 type duplexWriter struct {
 	http.ResponseWriter
-	body *keptBody
+	body *Body
 }
 
 // Unwrap lets http.ResponseController find the methods of the writer below.
--- a/internal/reference/proofs_test.go
+++ b/internal/reference/proofs_test.go
@@ -11,8 +11,11 @@
 
 var proofName = regexp.MustCompile("`([a-z0-9]+)\\.((?:Test|Fuzz)[A-Za-z0-9_]+)`")
 
-// outside are the packages that do not lie in internal/.
-var outside = map[string]string{"ctl": "../../cmd/goldcrestctl", "platform": "../../platform", "soak": "../../platform/soak"}
+// outside are the packages that do not lie directly in internal/.
+var outside = map[string]string{
+	"ctl": "../../cmd/goldcrestctl", "guard": "../proxy/guard", "path": "../proxy/path",
+	"platform": "../../platform", "soak": "../../platform/soak",
+}
 
 // TestProofsExist guards against a proof on the page that no test gives.
 func TestProofsExist(t *testing.T) {
