Keep three of four links between nodes in the own failure domain

Links were drawn from the whole region, so two thirds of the member entries, heartbeats, announcements and pulls crossed domains.

Change: a node draws three links from its own domain and one from the others of its region, or more where one side has too few members. Neighbours that are suspected themselves no longer count when a death is decided: those of a lost domain fell silent with it, and one suspicion from outside decides.

TestLinksStayInTheDomain and TestLostDomainIsFoundMissing fail without it.

--- a/internal/distribution/membershiploop.go
+++ b/internal/distribution/membershiploop.go
@@ -181,7 +181,7 @@
 
 func (a *Agent) settleDeaths(now time.Time) {
 	all := a.Table.All()
-	neighboursOf := func(m membership.Member) int { return len(membership.Neighbours(m, all)) }
+	neighboursOf := func(m membership.Member) []membership.Member { return membership.Neighbours(m, all) }
 	dead := a.detector.Dead(a.Table, neighboursOf, now)
 	for _, m := range dead {
 		a.Logger.Warn("member_dead", "node", m.ID)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -41,6 +41,52 @@
 	}
 }
 
+// TestLinksStayInTheDomain guards against entries and changes that mostly
+// cross failure domains, whose bytes are paid for, against domains that no
+// change reaches, and against a lost domain that nobody outside watches.
+func TestLinksStayInTheDomain(t *testing.T) {
+	for _, size := range []int{2, 3, 15, 170} { // members of a failure domain
+		var members []Member
+		for i := range 3 * size {
+			members = append(members, Member{ID: fmt.Sprintf("n%03d", i), Region: "r", FailureDomain: fmt.Sprint("d", i%3), Status: StatusAlive})
+		}
+		links, far, sum := map[string][]Member{}, 0, 0
+		for _, m := range members {
+			links[m.ID] = Neighbours(m, members)
+			sum += len(links[m.ID])
+			outside := 0
+			for _, o := range links[m.ID] {
+				assert.Assert(t, contains(Neighbours(o, members), m.ID), "%s does not know its link to %s", o.ID, m.ID)
+				if o.FailureDomain != m.FailureDomain {
+					outside++
+				}
+			}
+			assert.Assert(t, outside > 0, "nobody outside its domain watches %s", m.ID)
+			far += outside
+		}
+		assert.Equal(t, reached(members[0], links), len(members))
+		if size > linksPerNode {
+			assert.Assert(t, float64(far) <= 0.3*float64(sum), "%d of %d links leave their domain", far, sum)
+		}
+	}
+}
+
+// TestLostDomainIsFoundMissing guards against members that stay alive in the
+// table for long because most of their neighbours were lost with them.
+func TestLostDomainIsFoundMissing(t *testing.T) {
+	table, d := NewTable(), NewDetector()
+	var lost []Member
+	for _, id := range []string{"x", "y", "z"} {
+		lost = append(lost, Member{ID: id, Incarnation: 1, Status: StatusAlive})
+	}
+	table.Merge(lost)
+	for _, m := range lost { // one neighbour outside each
+		d.Suspect(Suspicion{ID: m.ID, Incarnation: 1, By: "far-" + m.ID}, m, epoch)
+	}
+	neighboursOf := func(m Member) []Member { return append([]Member{{ID: "far-" + m.ID}}, lost...) }
+	assert.Equal(t, len(d.Dead(table, neighboursOf, epoch.Add(refuteWithin))), len(lost))
+}
+
 func contains(members []Member, id string) bool {
 	for _, m := range members {
 		if m.ID == id {
@@ -123,7 +169,7 @@
 					assert.Assert(t, ok)
 					table.Merge([]Member{self})
 				}
-				if len(d.Dead(table, func(Member) int { return c.neighbours }, epoch.Add(at))) > 0 {
+				if len(d.Dead(table, func(Member) []Member { return make([]Member, c.neighbours) }, epoch.Add(at))) > 0 {
 					deadAt = at
 				}
 			}
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -11,6 +11,10 @@
 	// linksPerNode is how many links a node opens. Links are used both ways,
 	// so the mean degree is twice this.
 	linksPerNode = 4
+	// farLinks of them lead to other failure domains of the region where the
+	// own one has members enough. Bytes between domains are paid for, and the
+	// nodes of a domain that is lost are found missing from outside it.
+	farLinks = 1
 	// readersPerRegion is two, so that the death of one delays no change.
 	readersPerRegion = 2
 	// fewNeighbours is the number of neighbours below which one suspicion
@@ -102,15 +106,10 @@
 // Neighbours returns the members of the own region that the node has a link
 // with: those that it chose and those that chose it.
 func Neighbours(self Member, members []Member) []Member {
-	var region []Member
-	for _, m := range members {
-		if m.Region == self.Region && m.ID != self.ID && linked(m) {
-			region = append(region, m)
-		}
-	}
+	r := regionOf(self, members)
 	var out []Member
-	for _, m := range region {
-		if chooses(self, m, region) || chooses(m, self, region) {
+	for _, m := range r.others {
+		if r.chooses(self, m) || r.chooses(m, self) {
 			out = append(out, m)
 		}
 	}
@@ -118,28 +117,59 @@
 	return out
 }
 
+// region is what the links of one member are chosen from.
+type region struct {
+	others   []Member       // all but the member itself
+	inDomain map[string]int // members by failure domain, the member itself included
+}
+
+func regionOf(self Member, members []Member) region {
+	r := region{inDomain: map[string]int{self.FailureDomain: 1}}
+	for _, m := range members {
+		if m.Region == self.Region && m.ID != self.ID && linked(m) {
+			r.others = append(r.others, m)
+			r.inDomain[m.FailureDomain]++
+		}
+	}
+	return r
+}
+
 // linked reports whether a member takes part in dissemination. A draining
 // node does until it leaves, since its calls in flight still need it.
 func linked(m Member) bool { return m.Routable() || m.Status == StatusDraining }
 
-// chooses reports whether to is among the members that from opens links to.
-// It stops at the first linksPerNode better ones, so that the links of a node
-// cost some hashes a member and not one for each pair of members.
-func chooses(from, to Member, region []Member) bool {
+// chooses reports whether to is among the members that from opens links to:
+// those of the own failure domain with the highest scores, and some of others.
+// It stops once as many better ones are found, so that the links of a node cost
+// some hashes a member and not one for each pair of members.
+func (r region) chooses(from, to Member) bool {
+	near := to.FailureDomain == from.FailureDomain
+	quota := r.nearLinks(from)
+	if !near {
+		quota = linksPerNode - quota
+	}
 	score := pairScore(from.ID, to.ID)
 	better := 0
-	for _, m := range region {
-		if m.ID == from.ID || m.ID == to.ID {
+	for _, m := range r.others {
+		if m.ID == from.ID || m.ID == to.ID || (m.FailureDomain == from.FailureDomain) != near {
 			continue
 		}
 		if s := pairScore(from.ID, m.ID); s > score || s == score && m.ID < to.ID {
 			better++
 		}
-		if better >= linksPerNode {
+		if better >= quota {
 			return false
 		}
 	}
-	return true
+	return better < quota
+}
+
+// nearLinks returns how many links a member opens in its own failure domain:
+// all but farLinks, unless one of the two sides has too few members.
+func (r region) nearLinks(from Member) int {
+	near := r.inDomain[from.FailureDomain] - 1
+	far := len(r.others) - near
+	return min(near, linksPerNode-min(far, farLinks))
 }
 
 func pairScore(a, b string) uint64 {
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -106,16 +106,17 @@
 }
 
 // Dead returns the entries of the members whose suspicion has stood long
-// enough. neighboursOf returns how many neighbours a member has.
-func (d *Detector) Dead(t *Table, neighboursOf func(Member) int, now time.Time) []Member {
+// enough. neighboursOf returns the neighbours of a member.
+func (d *Detector) Dead(t *Table, neighboursOf func(Member) []Member, now time.Time) []Member {
 	var out []Member
-	for id, c := range d.open() {
+	cases := d.open()
+	for id, c := range cases {
 		m, ok := t.Get(id)
 		if !ok || m.Incarnation != c.incarnation || m.Sequence != c.sequence {
 			d.suspects.Delete(id) // refuted, or started anew
 			continue
 		}
-		if decided(c, neighboursOf(m), now) {
+		if decided(c, witnesses(neighboursOf(m), cases), now) {
 			m.Status = StatusDead
 			out = append(out, m)
 			d.suspects.Delete(id)
@@ -134,6 +135,18 @@
 	return out
 }
 
+// witnesses returns how many neighbours are not suspected themselves. Those
+// that were lost together with a member say nothing about it.
+func witnesses(neighbours []Member, cases map[string]suspect) int {
+	n := 0
+	for _, m := range neighbours {
+		if _, suspected := cases[m.ID]; !suspected {
+			n++
+		}
+	}
+	return n
+}
+
 func decided(c suspect, neighbours int, now time.Time) bool {
 	age := now.Sub(c.first)
 	if age >= loneLimit {
