--- a/internal/profile/delta_test.go
+++ b/internal/profile/delta_test.go
@@ -117,3 +117,27 @@
 		}
 	})
 }
+
+// FuzzChange guards against a change from another node that makes a node panic
+// or hold a document that differs from what the sender meant.
+func FuzzChange(f *testing.F) {
+	held := install(f, wholeAt(f, 1, []Route{route(1, 1), route(2, 1), route(3, 1)}), State{})
+	sender := install(f, wholeAt(f, 2, []Route{route(1, 1), route(2, 2), route(3, 1)}), held)
+	data, err := json.Marshal(send(f, sender, held.Position))
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Add([]byte(`{"changes":[{"entry":{"key":{"kind":"profile","name":"shop"}},"names":"AAA="}]}`))
+	f.Add([]byte(`{"changes":[{"entry":{"key":{"kind":"profile","name":"other"},"document":{}}}],"kept":[{}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := &Checkpoint{}
+		if json.Unmarshal(data, c) != nil {
+			return
+		}
+		whole, err := c.Complete(held)
+		if err != nil {
+			return
+		}
+		assert.Assert(t, len(whole.Changes) == 0 && len(whole.Kept) == 0)
+		_ = whole.state().CarryOver(held) // an error refuses the state
+	})
+}
--- a/internal/proxy/fields.go
+++ b/internal/proxy/fields.go
@@ -65,13 +65,13 @@
 }
 
 // RetryAfterOf returns the time after which an answer asks to be tried again,
-// 0 when it does not say.
+// at most maxDeadline, 0 when it does not say.
 func RetryAfterOf(h http.Header) time.Duration {
 	if ms, err := strconv.ParseInt(h.Get(HeaderRetryAfterMs), 10, 64); err == nil && ms > 0 {
-		return time.Duration(ms) * time.Millisecond
+		return time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
 	}
-	if s, err := strconv.ParseInt(h.Get("Retry-After"), 10, 32); err == nil && s > 0 {
-		return time.Duration(s) * time.Second
+	if s, err := strconv.ParseInt(h.Get("Retry-After"), 10, 64); err == nil && s > 0 {
+		return time.Duration(min(s, int64(maxDeadline/time.Second))) * time.Second
 	}
 	return 0
 }
@@ -109,7 +109,8 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// maxDeadline is the longest time that a call may have.
+// maxDeadline is the longest time that a call may have and that an answer may
+// put a call off.
 const maxDeadline = time.Hour
 
 // AnswerHops returns how many nodes an answer has passed through.
