--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -4,9 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
-	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 	"github.com/goldcrestshed/goldcrestshed/internal/telemetry"
 )
 
@@ -60,23 +57,6 @@
 	set(telemetry.MetricPeerBytesOut, float64(bytes.Out))
 }
 
-// callSecondsBuckets span a cached read to a long download.
-var callSecondsBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
-
-// recorder returns the function that counts the calls of one side.
-func (n *Node) recorder(side string) func(proxy.Observation) {
-	scope := n.metrics.Scope.Tagged(map[string]string{"side": side})
-	seconds := scope.Histogram(telemetry.MetricCallSeconds, callSecondsBuckets)
-	return func(o proxy.Observation) {
-		outcome := string(o.Outcome)
-		if outcome == "" {
-			outcome = "cut"
-		}
-		scope.Tagged(map[string]string{"outcome": outcome, "reason": o.Reason}).Counter(telemetry.MetricCalls).Inc(1)
-		seconds.RecordDuration(o.Elapsed)
-	}
-}
-
 func flag(b bool) float64 {
 	if b {
 		return 1
--- a/internal/proxy/front/front.go
+++ b/internal/proxy/front/front.go
@@ -61,6 +61,7 @@
 		f.refuse(w, r, refusal, "")
 		return
 	}
+	proxy.SetRoute(w, route.ID)
 	c, refusal := f.newCall(w, r, route)
 	if refusal != nil {
 		f.refuse(w, r, refusal, route.ID)
--- a/internal/proxy/guard/guard.go
+++ b/internal/proxy/guard/guard.go
@@ -65,6 +65,7 @@
 func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.calls.Enter()
 	defer g.calls.Leave()
+	proxy.SetRoute(w, r.Header.Get(proxy.HeaderRoute))
 	rc := proxy.BeginCall(w)
 	defer proxy.EndCall(rc, r)
 	v := g.newVisit(w, r, rc)
--- a/internal/proxy/observe.go
+++ b/internal/proxy/observe.go
@@ -7,6 +7,7 @@
 
 // Observation is one call as its caller saw it.
 type Observation struct {
+	Route   string  // id of the route; empty when none matched
 	Outcome Outcome // empty when the connection was cut
 	Reason  string  // empty when the call ran
 	Status  int     // 0 when the connection was cut before an answer
@@ -20,7 +21,7 @@
 		begun := time.Now()
 		whole := false
 		defer func() {
-			seen := Observation{Status: o.status, Elapsed: time.Since(begun)}
+			seen := Observation{Route: o.route, Status: o.status, Elapsed: time.Since(begun)}
 			if whole {
 				seen.Outcome = Outcome(w.Header().Get(HeaderOutcome))
 				seen.Reason = w.Header().Get(HeaderReason)
@@ -32,12 +33,20 @@
 	})
 }
 
-// observedWriter notes the status of an answer.
+// observedWriter notes the route of a call and the status of its answer.
 type observedWriter struct {
 	http.ResponseWriter
+	route  string
 	status int
 }
 
+// SetRoute notes the route of a call for the record of Observe.
+func SetRoute(w http.ResponseWriter, route string) {
+	if o, ok := w.(*observedWriter); ok {
+		o.route = route
+	}
+}
+
 // Unwrap lets http.ResponseController reach the writer below.
 func (o *observedWriter) Unwrap() http.ResponseWriter { return o.ResponseWriter }
 
