--- a/cmd/goldcrestctl/dev.go
+++ b/cmd/goldcrestctl/dev.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os/signal"
 	"syscall"
 	"time"
 
@@ -18,8 +19,8 @@
 )
 
 func newDevCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "dev", Short: "Run stand-ins of the platform, for trials"}
-	cmd.AddCommand(newDevLogCommand(), newDevBackendCommand())
+	cmd := &cobra.Command{Use: "dev", Short: "Run stand-ins of the platform and make calls, for trials"}
+	cmd.AddCommand(newDevLogCommand(), newDevBackendCommand(), newDevStoreCommand(), newDevServerCommand(), newDevLoadCommand())
 	return cmd
 }
 
@@ -63,6 +64,17 @@
 	return cmd
 }
 
+// awaitSignal prints the address of a stand-in and waits for a signal.
+func awaitSignal(cmd *cobra.Command, address string) error {
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if _, err := fmt.Fprintf(cmd.OutOrStdout(), "listening on %s\n", address); err != nil {
+		return errors.Wrap(err, "write address")
+	}
+	<-ctx.Done()
+	return nil
+}
+
 // serveStandin serves until a signal and prints its address once it is ready.
 func serveStandin(cmd *cobra.Command, listen string, serve func(context.Context, net.Listener) error, ready func(ctx context.Context, address string) error) error {
 	ln, err := net.Listen("tcp", listen)
--- /dev/null
+++ b/cmd/goldcrestctl/emulator.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/goldcrestshed/goldcrestshed/platform/standin"
+)
+
+// newDevStoreCommand runs the emulator of the users' platform: its store with
+// a configuration of the operator.
+func newDevStoreCommand() *cobra.Command {
+	var listen, config string
+	var delay time.Duration
+	cmd := &cobra.Command{
+		Use: "store", Short: "Run a stand-in of the users' platform's store with a configuration", Args: usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			store := standin.NewStore()
+			if config != "" {
+				data, err := os.ReadFile(config)
+				if err != nil {
+					return errors.Wrap(err, "read configuration")
+				}
+				store.PutConfig(data)
+			}
+			store.SetFaults(standin.Faults{Delay: delay})
+			srv := &http.Server{Handler: store.Handler(), ReadHeaderTimeout: 10 * time.Second}
+			serve := func(ctx context.Context, ln net.Listener) error {
+				defer context.AfterFunc(ctx, func() { _ = srv.Close() })()
+				return srv.Serve(ln)
+			}
+			return serveStandin(cmd, listen, serve, func(context.Context, string) error { return nil })
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7300", "address to listen on, ip:port")
+	cmd.Flags().StringVar(&config, "config", "", "file with the operator's configuration, JSON in the platform's form")
+	cmd.Flags().DurationVar(&delay, "delay", 0, "time before each answer")
+	return cmd
+}
+
+// newDevServerCommand runs a backend server of the emulator.
+func newDevServerCommand() *cobra.Command {
+	cfg := standin.BackendConfig{Ledger: standin.NewLedger()}
+	var loseAnswers, slow int64
+	cmd := &cobra.Command{
+		Use: "server", Short: "Run a stand-in of a backend server that reports to its node, as on the users' platform", Args: usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if cfg.Address == "" {
+				cfg.Address = cfg.Listen
+			}
+			b, err := standin.StartBackend(cfg)
+			if err != nil {
+				return errors.Wrap(err, "start backend server")
+			}
+			defer b.Crash()
+			b.LoseAnswers(loseAnswers)
+			b.SetSlow(slow)
+			return awaitSignal(cmd, cfg.Address)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&cfg.Listen, "listen", "127.0.0.1:7400", "address to listen on, ip:port")
+	flags.StringVar(&cfg.Address, "address", "", "address to report, ip:port; empty takes the one to listen on")
+	flags.StringVar(&cfg.Control, "control", "127.0.0.1:7500", "address on which the node takes reports, ip:port")
+	flags.StringVar(&cfg.Service, "service", "", "service that the backend server belongs to")
+	flags.IntVar(&cfg.Slots, "slots", 18, "calls run at once")
+	flags.DurationVar(&cfg.Work, "work", 5*time.Millisecond, "time that a call takes")
+	flags.DurationVar(&cfg.Every, "every", time.Second, "time between reports")
+	flags.Int64Var(&loseAnswers, "lose-answers", 0, "how many answers are lost after their runs")
+	flags.Int64Var(&slow, "slow", 1, "how many times longer calls take")
+	return cmd
+}
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -47,7 +47,7 @@
 	{MetricMembers, "gauge", "nodes", "nodes that new calls may be sent to"},
 	{MetricReady, "gauge", "0 or 1", "whether the node serves"},
 	{MetricDraining, "gauge", "0 or 1", "whether the node is leaving"},
-	{MetricCalls, "counter", "calls", "calls that ended; tags side (front, guard), route (the first 32 by id, then other; none), outcome (ran, not-run, unknown, cut) and reason"},
+	{MetricCalls, "counter", "calls", "calls that ended; tags side (front, guard), route (the first 32 by id, then other; none), outcome (ran, not_run, unknown, cut) and reason"},
 	{MetricCallSeconds, "histogram", "seconds", "time of calls from the request's header to the end of the answer; tag side, route"},
 	{MetricBackendUp, "gauge", "0 or 1", "whether the backend server took a connection at the last probe"},
 	{MetricSlots, "gauge", "slots", "calls that the backend server may run at once now"},
