Start from peers that read the source lately, not each node from the source

Ruled out: the reports of backend servers, which had come after 0.07 s; the search for peers, which runs beside.

Change: three members of each failure domain, by hash, read the source. The others take what peers hold if these tell, in hello and announcements, that it was the newest of the source at most 6 s ago; after 0.8 s, or at once where peers hold a configuration and none knows its age, they read it themselves. Pulls prefer the own failure domain.

TestStartFromPeers plays fresh, old, unknown, starting and gone peers; its case 'peers that read it lately' reads the source without the change.

--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -85,6 +85,7 @@
 	found     chan struct{} // closed once the node looked for peers
 	foundOnce sync.Once
 	hasTable  atomic.Bool // a peer gave its whole table since the start
+	newest    atomic.Pointer[sourceView]
 	ready     atomic.Bool
 	readyDone chan struct{}
 	retention atomic.Int64 // of the log, in ns; 0 until a reader has seen it
--- a/internal/distribution/handler.go
+++ b/internal/distribution/handler.go
@@ -38,13 +38,16 @@
 	}
 	answer := peer.HelloAnswer{Node: a.self()}
 	if p, ok := a.Position(); ok {
-		answer.Position = &p
+		answer.Position, answer.SourceAgeMs = &p, a.sourceAge(p)
 	}
 	return answer, nil
 }
 
 // Announce notes a position.
-func (a *Agent) Announce(m peer.Announce) { a.hear(m.ID, m.Position) }
+func (a *Agent) Announce(m peer.Announce) {
+	a.noteSourceAge(m.Position, m.SourceAgeMs)
+	a.hear(m.ID, m.Position)
+}
 
 // Pull answers with the records after a position, or with the full state.
 func (a *Agent) Pull(_ context.Context, r peer.PullRequest) (peer.PullAnswer, error) {
--- a/internal/distribution/membershiploop.go
+++ b/internal/distribution/membershiploop.go
@@ -163,6 +163,7 @@
 func (a *Agent) greeted(answer peer.HelloAnswer) {
 	a.merge(answer.Node.ID, []membership.Member{answer.Node})
 	if answer.Position != nil {
+		a.noteSourceAge(*answer.Position, answer.SourceAgeMs)
 		a.hear(answer.Node.ID, *answer.Position)
 	}
 }
--- a/internal/distribution/relay.go
+++ b/internal/distribution/relay.go
@@ -1,8 +1,10 @@
 package distribution
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
@@ -69,7 +71,7 @@
 func (a *Agent) tell(ctx context.Context, m membership.Member, p profile.Position) {
 	ctx, cancel := context.WithTimeout(ctx, sendLimit)
 	defer cancel()
-	if err := a.Peers.Announce(ctx, m, peer.Announce{ID: a.Self.ID, Position: p}); err != nil {
+	if err := a.Peers.Announce(ctx, m, peer.Announce{ID: a.Self.ID, Position: p, SourceAgeMs: a.sourceAge(p)}); err != nil {
 		a.Logger.Debug("announce_failed", "node", m.ID, "error", err)
 	}
 }
@@ -128,8 +130,9 @@
 	return m, wait, found
 }
 
-// ahead returns the known nodes that told a higher position, in random order
-// so that the pulls of many nodes spread.
+// ahead returns the known nodes that told a higher position, those of the own
+// failure domain first, else in random order so that the pulls of many nodes
+// spread.
 func (p *puller) ahead() []membership.Member {
 	if have := p.core.published.Load(); have != nil && have.NewSchema {
 		return nil // more records would not help this build
@@ -152,9 +155,18 @@
 		}
 		out = append(out, m)
 	}
+	slices.SortStableFunc(out, func(a, b membership.Member) int { return cmp.Compare(p.distance(a), p.distance(b)) })
 	return out
 }
 
+// distance is 0 for members of the own failure domain and 1 for others.
+func (p *puller) distance(m membership.Member) int {
+	if m.Region == p.Self.Region && m.FailureDomain == p.Self.FailureDomain {
+		return 0
+	}
+	return 1
+}
+
 func (p *puller) noteRemote(ahead []membership.Member, now time.Time) {
 	if len(ahead) == 0 {
 		p.remote = time.Time{}
--- a/internal/distribution/source.go
+++ b/internal/distribution/source.go
@@ -94,12 +94,18 @@
 
 // readSource makes one read and hands what it brought to the core.
 func (a *Agent) readSource(ctx context.Context, poll time.Duration) error {
-	after, _ := a.Position()
+	after, held := a.Position()
 	c, err := a.Source.Next(ctx, after, poll)
-	if err != nil || c == nil {
+	if err != nil {
 		return err
 	}
-	a.core.submit(ctx, update{full: &peer.FullState{Checkpoint: c}})
+	if c != nil {
+		a.core.submit(ctx, update{full: &peer.FullState{Checkpoint: c}})
+		after, held = a.Position()
+	}
+	if held {
+		a.noteSource(after, time.Now())
+	}
 	return nil
 }
 
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -28,9 +28,6 @@
 	// startReach is how long a node tries to reach one target before it looks
 	// for a newer one.
 	startReach = 2 * time.Second
-	// emptySourceRetry is the time until a node that found the source empty
-	// reads it again. The readers tell it of the first configuration sooner.
-	emptySourceRetry = 2 * time.Second
 	// startTables is how many peers are asked for their table at most.
 	startTables = 3
 )
@@ -69,12 +66,6 @@
 	return nil
 }
 
-// starter is the state of the one goroutine that applies the start rule.
-type starter struct {
-	*Agent
-	sourceEmpty bool // the source answered this start and held no configuration
-}
-
 // startOnce looks for a target and reports whether the node reached it.
 func (s *starter) startOnce(ctx context.Context) bool {
 	if s.startFromSource(ctx) {
@@ -97,31 +88,6 @@
 	})
 }
 
-// startFromSource reads the newest configuration of the source, which no peer
-// can have passed. Peers are looked for meanwhile: those that died at the same
-// time must not hold the start up.
-func (s *starter) startFromSource(ctx context.Context) bool {
-	if s.Source == nil {
-		return false
-	}
-	if _, ok := s.Position(); ok && s.sourceEmpty {
-		return true // whatever a peer brought is newer than what the source held
-	}
-	s.once("peers", s.Self.ID, func() {
-		s.findPeers(ctx)
-		s.peersFound()
-	})
-	limited, cancel := context.WithTimeout(ctx, startLogLimit)
-	defer cancel()
-	if err := s.readSource(limited, 0); err != nil {
-		s.Logger.Warn("source_unread", "error", err)
-		return false
-	}
-	_, ok := s.Position()
-	s.sourceEmpty = !ok
-	return ok
-}
-
 // findPeers fills the table of a starting node. Being greeted is not enough:
 // with only those members in its table the node would take itself for a reader.
 func (a *Agent) findPeers(ctx context.Context) {
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -103,6 +103,22 @@
 	return out
 }
 
+// Leads reports whether a member is among the first n of its failure domain,
+// in an order that all nodes agree on.
+func Leads(m Member, members []Member, n int) bool {
+	score := xxhash.Sum64String("lead\x00" + m.ID)
+	better := 0
+	for _, o := range members {
+		if o.ID == m.ID || o.Region != m.Region || o.FailureDomain != m.FailureDomain || !linked(o) {
+			continue
+		}
+		if s := xxhash.Sum64String("lead\x00" + o.ID); s > score || s == score && o.ID < m.ID {
+			better++
+		}
+	}
+	return better < n
+}
+
 // Neighbours returns the members of the own region that the node has a link
 // with: those that it chose and those that chose it.
 func Neighbours(self Member, members []Member) []Member {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -39,6 +39,9 @@
 type HelloAnswer struct {
 	Node     membership.Member `json:"node"`
 	Position *profile.Position `json:"position,omitempty"`
+	// SourceAgeMs is how long ago that position was the newest of the source;
+	// nil when the node does not know.
+	SourceAgeMs *int64 `json:"sourceAgeMs,omitempty"`
 }
 
 // Heartbeat is a sign of life and the basis of anti-entropy.
@@ -51,8 +54,9 @@
 
 // Announce tells that the sender holds a position.
 type Announce struct {
-	ID       string           `json:"id"`
-	Position profile.Position `json:"pos"`
+	ID          string           `json:"id"`
+	Position    profile.Position `json:"pos"`
+	SourceAgeMs *int64           `json:"sourceAgeMs,omitempty"` // as in HelloAnswer
 }
 
 // PullRequest asks for what lies after a position. A nil From asks for the
