Tell a document that changed and changed back

Change: documents that are left out are named with the hash of their content; a node that holds another one asks for the whole state.

--- a/internal/profile/delta_test.go
+++ b/internal/profile/delta_test.go
@@ -141,3 +141,14 @@
 		_ = whole.state().CarryOver(held) // an error refuses the state
 	})
 }
+
+// TestDocumentThatChangedBackIsTold guards against a node that keeps a document
+// of a version which the sender skipped, because the sender saw no change.
+func TestDocumentThatChangedBackIsTold(t *testing.T) {
+	before, between := []Route{route(1, 1), route(2, 1), route(3, 1)}, []Route{route(1, 1), route(2, 5), route(3, 1)}
+	sender := install(t, wholeAt(t, 3, before), State{})
+	sender = install(t, wholeAt(t, 6, before), sender) // it skipped version 4
+	receiver := install(t, wholeAt(t, 4, between), State{})
+	_, err := send(t, sender, receiver.Position).Complete(receiver)
+	assert.ErrorContains(t, err, "not held as it was meant")
+}
--- a/internal/profile/record.go
+++ b/internal/profile/record.go
@@ -117,12 +117,23 @@
 	// Whole marks the state of a source that keeps whole configurations: a
 	// document that it lacks is gone.
 	Whole bool `json:"whole,omitempty"`
+	// Limits hold for what callers send, in a source that keeps whole
+	// configurations.
+	Limits CallLimits `json:"limits,omitzero"`
 	// Kept names the documents that Since left out.
-	Kept []Key `json:"kept,omitempty"`
+	Kept []KeptDocument `json:"kept,omitempty"`
 	// Changes holds the documents that Since reduced to what changed.
 	Changes []DocumentChange `json:"changes,omitempty"`
 }
 
+// KeptDocument names a document that a node holds already, by its key and the
+// hash of its content. A document may change and change back between versions
+// of which the sender saw only the last.
+type KeptDocument struct {
+	Key Key    `json:"key"`
+	Sum uint64 `json:"sum"`
+}
+
 // NoOffset stands before the first offset of a log.
 const NoOffset int64 = -1
 
--- a/internal/profile/whole.go
+++ b/internal/profile/whole.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
 
@@ -14,7 +15,7 @@
 	out.Entries, out.Kept, out.Changes = nil, nil, nil
 	for _, e := range c.Entries {
 		if e.Version.Era == base.Era && e.Version.Number <= uint64(max(base.Offset, 0)) {
-			out.Kept = append(out.Kept, e.Key)
+			out.Kept = append(out.Kept, KeptDocument{Key: e.Key, Sum: xxhash.Sum64(e.Document)})
 			continue
 		}
 		if change, ok := e.changeSince(uint64(max(base.Offset, 0))); ok && e.Version.Era == base.Era {
@@ -47,9 +48,9 @@
 		out.Entries = append(out.Entries, e)
 	}
 	for _, k := range c.Kept {
-		e, ok := have.Entries[k]
-		if !ok {
-			return nil, errors.Newf("%s was left out of a change and is not held", k)
+		e, ok := have.Entries[k.Key]
+		if !ok || xxhash.Sum64(e.Document) != k.Sum {
+			return nil, errors.Newf("%s was left out of a change and is not held as it was meant", k.Key)
 		}
 		out.Entries = append(out.Entries, e)
 	}
