Take limits on callers from the operator's configuration

Cause: the platform's configurations set the largest header and body, and how long a caller may take for a header or stay idle; the product used 64 KB, 1 GB, 10 s and 60 s whatever they said.

Change: a whole configuration carries call limits. The front refuses larger headers and bodies with 431 and 413, also where a body streams, and the server for calls sets the read deadlines of a connection by its phase. The product's own bounds on sizes stay the highest.

--- a/internal/distribution/core.go
+++ b/internal/distribution/core.go
@@ -215,7 +215,7 @@
 	s := profile.State{
 		Position: profile.Position{Era: c.Era, Offset: c.Through},
 		Entries:  make(map[profile.Key]profile.Entry, len(c.Entries)),
-		Refused:  c.Refused, Recent: c.Recent,
+		Refused:  c.Refused, Recent: c.Recent, Limits: c.Limits,
 	}
 	for _, e := range c.Entries {
 		s.Entries[e.Key] = e
--- a/internal/distribution/core_test.go
+++ b/internal/distribution/core_test.go
@@ -13,6 +13,7 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
 	"github.com/goldcrestshed/goldcrestshed/internal/peer"
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
+	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
 
 var shop = profile.Key{Kind: profile.KindProfile, Name: "shop"}
@@ -189,3 +190,17 @@
 		})
 	}
 }
+
+// TestLimitsReachTheGeneration guards against limits on callers that a node
+// loses when it takes a configuration, or passes on without.
+func TestLimitsReachTheGeneration(t *testing.T) {
+	full := fullAt(1, 10, 5)
+	full.Checkpoint.Limits = profile.CallLimits{BodyBytes: 1000}
+	core := newCore(slog.New(slog.DiscardHandler))
+	p := core.apply(update{full: full})
+	assert.Equal(t, p.Applied.Limits.BodyBytes, int64(1000))
+	assert.Equal(t, fullOf(p).Checkpoint.Since(profile.Position{Era: 1, Offset: 9}).Limits.BodyBytes, int64(1000))
+	g, found := snapshot.Build(1, profile.State{Limits: p.Applied.Limits}, nil)
+	assert.Equal(t, len(found), 0)
+	assert.Equal(t, g.Limits.BodyBytes, int64(1000))
+}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -48,10 +48,16 @@
 	return append([]*proxy.Server(nil), s.all...)
 }
 
+// callsServer names the server that takes the calls of callers.
+const callsServer = "calls"
+
 // serve adds an HTTP server to the group. Stopping the group ends it within
 // shutdownLimit; a drain has shut it down before.
 func (n *Node) serve(g *run.Group, name string, ln net.Listener, h http.Handler) *proxy.Server {
 	srv := proxy.NewServer(h)
+	if name == callsServer {
+		srv.Limits = n.holder.Limits
+	}
 	g.Add(func() error {
 		err := srv.Serve(ln)
 		if !errors.Is(err, http.ErrServerClosed) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,7 +151,7 @@
 	n.addCalls(ctx, &g)
 	n.servePeers(ctx, &g)
 	g.Add(func() error { return n.runDrain(ctx) }, func(error) { cancel() })
-	n.servers.add(n.serve(&g, "calls", n.listeners.calls, n.closing(proxy.Observe(n.front, newCallMetrics(n.metrics.Scope, "front").record))))
+	n.servers.add(n.serve(&g, callsServer, n.listeners.calls, n.closing(proxy.Observe(n.front, newCallMetrics(n.metrics.Scope, "front").record))))
 	n.servers.add(n.serve(&g, "guard", n.listeners.guard, proxy.Observe(n.guard, newCallMetrics(n.metrics.Scope, "guard").record)))
 	n.servePlatform(&g)
 	n.serve(&g, "admin", n.listeners.admin, n.adminHandler())
--- a/internal/profile/state.go
+++ b/internal/profile/state.go
@@ -20,6 +20,7 @@
 	Entries  map[Key]Entry
 	Refused  []Refusal
 	Recent   []string
+	Limits   CallLimits
 }
 
 // Sorted returns the entries in the order of their keys.
@@ -102,7 +103,7 @@
 func CheckpointOf(s State) *Checkpoint {
 	return &Checkpoint{
 		Era: s.Position.Era, Through: s.Position.Offset, ThroughID: s.LastID,
-		Entries: s.Sorted(), Recent: s.Recent, Refused: s.Refused,
+		Entries: s.Sorted(), Recent: s.Recent, Refused: s.Refused, Limits: s.Limits,
 	}
 }
 
@@ -125,7 +126,7 @@
 	}
 	return State{
 		Position: Position{Era: c.Era, Offset: c.Through}, LastID: c.ThroughID,
-		Entries: entries, Refused: c.Refused, Recent: c.Recent,
+		Entries: entries, Refused: c.Refused, Recent: c.Recent, Limits: c.Limits,
 	}
 }
 
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -34,7 +34,8 @@
 // Reads from the caller run on a goroutine of their own, since net/http's
 // Transport does not return from a cancelled call while it waits for a body.
 type Body struct {
-	in *http.Request
+	in    *http.Request
+	limit int64 // bytes
 
 	mu      sync.Mutex
 	kept    []byte        // guarded by mu
@@ -46,12 +47,13 @@
 	changed chan struct{} // guarded by mu; closed and replaced when a read from the caller ends
 }
 
-// NewBody returns the body of in, or nil when it has none.
-func NewBody(in *http.Request) *Body {
+// NewBody returns the body of in, or nil when it has none. It ends with an
+// error after limit bytes.
+func NewBody(in *http.Request, limit int64) *Body {
 	if in.Body == nil || in.Body == http.NoBody || in.ContentLength == 0 {
 		return nil
 	}
-	return &Body{in: in, changed: make(chan struct{})}
+	return &Body{in: in, limit: limit, changed: make(chan struct{})}
 }
 
 // small reports whether the body can be taken whole before the call is sent.
@@ -168,7 +170,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.total += int64(n)
-	if b.total > maxBodyBytes {
+	if b.total > b.limit {
 		n, err = 0, errBodyTooLarge
 	}
 	b.end = err
--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -7,10 +7,15 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 )
 
 // callerListener accepts the connections of callers.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+	limits func() profile.CallLimits // nil for none
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -19,7 +24,7 @@
 		return nil, err
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		return &callerConn{TCPConn: tcp}, nil
+		return &callerConn{TCPConn: tcp, limits: l.limits}, nil
 	}
 	return conn, nil
 }
@@ -31,11 +36,55 @@
 // bytes resets it, which loses the answer on its way to the caller.
 type callerConn struct {
 	*net.TCPConn
+	limits  func() profile.CallLimits // nil for none
+	phase   atomic.Int32
 	early   atomic.Bool               // an answer began before the end of the call's body
 	restEnd atomic.Pointer[time.Time] // until when the rest of the body is read; set when the call has ended
 	closing atomic.Bool
 }
 
+// Phases of a connection, by which its read deadlines are told apart.
+const (
+	phaseNew  int32 = iota // before the first call: the next deadline is for a header
+	phaseIdle              // between two calls: the next deadline is for the idle time
+	phaseCall              // within a call
+)
+
+// noteState follows net/http's server, which sets the deadline for the idle
+// time after it has made a connection idle, and the one for a header before it
+// has made the connection active.
+func noteState(c net.Conn, state http.ConnState) {
+	conn, ok := c.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		conn.phase.Store(phaseIdle)
+	case http.StateActive:
+		conn.phase.Store(phaseCall)
+	}
+}
+
+// limited returns the deadline of the present phase by the operator's limits.
+func (c *callerConn) limited(t time.Time) time.Time {
+	if c.limits == nil {
+		return t
+	}
+	l, limit := c.limits(), time.Duration(0)
+	switch c.phase.Load() {
+	case phaseNew:
+		limit = time.Duration(l.HeaderTimeout)
+	case phaseIdle:
+		limit = time.Duration(l.IdleTimeout)
+		c.phase.Store(phaseNew)
+	}
+	if limit <= 0 {
+		return t
+	}
+	return time.Now().Add(limit)
+}
+
 type callerConnKey struct{}
 
 // withCallerConn lets handlers find the connection of a call.
@@ -69,6 +118,8 @@
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	if end := c.restEnd.Load(); end != nil && t.IsZero() {
 		t = *end
+	} else if !t.IsZero() {
+		t = c.limited(t)
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -20,7 +20,7 @@
 	broken := body.Err()
 	switch {
 	case errors.Is(broken, errBodyTooLarge):
-		return http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body exceeds 1 GB"
+		return http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body exceeds the limit"
 	case broken != nil:
 		return http.StatusBadRequest, ReasonBodyCut, "the body ended before its announced end"
 	case errors.Is(err, errTarget):
--- a/internal/proxy/front/front.go
+++ b/internal/proxy/front/front.go
@@ -52,7 +52,7 @@
 	defer f.calls.Leave()
 	rc := proxy.BeginCall(w)
 	defer proxy.EndCall(rc, r)
-	if refusal := proxy.HTTPRefusal(r); refusal != nil {
+	if refusal := proxy.HTTPRefusal(r, f.cfg.Holder.Limits()); refusal != nil {
 		f.refuse(w, r, refusal, "")
 		return
 	}
@@ -110,7 +110,7 @@
 	c := &call{
 		front: f, w: w, r: r, ctx: r.Context(), route: route, service: service, policy: &service.Policy,
 		started: now, deadline: now.Add(f.timeoutOf(r, route)), idempotent: route.IsIdempotent(r.Method),
-		body: proxy.NewBody(r),
+		body: proxy.NewBody(r, proxy.BodyLimit(f.cfg.Holder.Limits())),
 	}
 	if refusal := c.checkKey(now); refusal != nil {
 		return nil, refusal
--- a/internal/proxy/guard/guard.go
+++ b/internal/proxy/guard/guard.go
@@ -112,7 +112,7 @@
 	v := &visit{
 		guard: g, w: w, r: r, rc: rc, ctx: r.Context(), begun: now, deadline: now.Add(limit),
 		rule: r.Header.Get(proxy.HeaderOnce), repeat: r.Header.Get(proxy.HeaderRepeat) != "",
-		body: proxy.NewBody(r), early: &proxy.EarlyHints{Writer: w},
+		body: proxy.NewBody(r, proxy.MaxBodyBytes), early: &proxy.EarlyHints{Writer: w},
 	}
 	if text := r.Header.Get(proxy.HeaderQuarantine); text != "" {
 		if news := g.cfg.Quarantine.Merge(proxy.ParseEntries(text), now); len(news) > 0 {
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -6,14 +6,30 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 )
 
 // MaxHeaderBytes bounds the request line and headers of a call.
 const MaxHeaderBytes = 64 << 10
 
-// maxBodyBytes bounds the body of a call, so that one caller cannot hold a
+// MaxBodyBytes bounds the body of a call, so that one caller cannot hold a
 // slot with an endless upload.
-const maxBodyBytes = 1 << 30
+const MaxBodyBytes = 1 << 30
+
+// HeaderLimit returns the bound on the request line and headers of a call.
+func HeaderLimit(l profile.CallLimits) int64 { return bound(l.HeaderBytes, MaxHeaderBytes) }
+
+// BodyLimit returns the bound on the body of a call.
+func BodyLimit(l profile.CallLimits) int64 { return bound(l.BodyBytes, MaxBodyBytes) }
+
+// bound returns the operator's limit, which may not pass the product's own.
+func bound(limit, most int64) int64 {
+	if limit <= 0 {
+		return most
+	}
+	return min(limit, most)
+}
 
 // viaName names the system in Via headers, which RFC 9110, 7.6.3 asks of
 // gateways.
@@ -116,12 +132,12 @@
 
 // HTTPRefusal returns the answer to a call that is not passed on as a matter of
 // HTTP, or nil.
-func HTTPRefusal(in *http.Request) *Failure {
+func HTTPRefusal(in *http.Request, l profile.CallLimits) *Failure {
 	switch {
-	case headerBytes(in) > MaxHeaderBytes:
-		return NotRun(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderTooLarge, "the request line and headers exceed 64 KB")
-	case in.ContentLength > maxBodyBytes:
-		return NotRun(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body exceeds 1 GB")
+	case int64(headerBytes(in)) > HeaderLimit(l):
+		return NotRun(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderTooLarge, "the request line and headers exceed the limit")
+	case in.ContentLength > BodyLimit(l):
+		return NotRun(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body exceeds the limit")
 	case in.Method == http.MethodConnect:
 		return NotRun(http.StatusNotImplemented, ReasonUpgrade, "CONNECT is not supported")
 	case in.ProtoMajor == 1 && hasToken(in.Header["Connection"], "upgrade") && !hasToken(in.Header["Upgrade"], "h2c"):
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 )
 
 // Limits of the servers for calls.
@@ -19,13 +21,18 @@
 )
 
 // Server serves calls over HTTP/1.1 and HTTP/2 without TLS.
-type Server struct{ http.Server }
+type Server struct {
+	http.Server
+	// Limits returns the bounds on the times of connections over HTTP/1.1; nil
+	// leaves the product's own.
+	Limits func() profile.CallLimits
+}
 
 // NewServer returns a Server.
 func NewServer(h http.Handler) *Server {
-	srv := &Server{http.Server{
+	srv := &Server{Server: http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: netHTTPHeaderBytes, Protocols: &http.Protocols{}, ConnContext: withCallerConn,
+		MaxHeaderBytes: netHTTPHeaderBytes, Protocols: &http.Protocols{}, ConnContext: withCallerConn, ConnState: noteState,
 	}}
 	srv.Protocols.SetHTTP1(true)
 	srv.Protocols.SetUnencryptedHTTP2(true)
@@ -33,7 +40,9 @@
 }
 
 // Serve accepts the connections of callers on ln.
-func (s *Server) Serve(ln net.Listener) error { return s.Server.Serve(callerListener{ln}) }
+func (s *Server) Serve(ln net.Listener) error {
+	return s.Server.Serve(callerListener{Listener: ln, limits: s.Limits})
+}
 
 // BeginCall readies the connection of a call.
 func BeginCall(w http.ResponseWriter) *http.ResponseController {
--- a/internal/snapshot/generation.go
+++ b/internal/snapshot/generation.go
@@ -84,12 +84,13 @@
 	// HeldBack names routes in force whose service has no backend server
 	// here; calls to them are answered as not run.
 	HeldBack []*Route
+	Limits   profile.CallLimits // of what callers send
 }
 
 // Build makes the generation of a state and the members known. It never
 // returns a generation together with findings.
 func Build(number uint64, s profile.State, members []membership.Member) (*Generation, finding.List) {
-	g := &Generation{Number: number, Position: s.Position, Services: map[string]*Service{}}
+	g := &Generation{Number: number, Position: s.Position, Services: map[string]*Service{}, Limits: s.Limits}
 	endpoints := endpointsOf(members)
 	selected := selections(s)
 	var found finding.List
--- a/internal/snapshot/holder.go
+++ b/internal/snapshot/holder.go
@@ -4,6 +4,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 	"github.com/goldcrestshed/goldcrestshed/internal/shard"
 )
 
@@ -107,6 +108,14 @@
 // Latest returns the newest generation for dumps and status, or nil.
 func (h *Holder) Latest() *Generation { return h.latest.Load() }
 
+// Limits returns the bounds on what callers send.
+func (h *Holder) Limits() profile.CallLimits {
+	if g := h.latest.Load(); g != nil {
+		return g.Limits
+	}
+	return profile.CallLimits{}
+}
+
 // Lookup finds the route of a call in the published generation. Routes with
 // the call's host go before routes for every host, longer path prefixes
 // before shorter ones.
