Log calls whose caller left as abandoned, not as cut connections

Change: such calls have the reason 'canceled' and the event call_abandoned; the guard writes no line, since the front tells it.

TestLogsTellWhoLeft fails without it: the reason was connection_cut.

--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -25,6 +25,8 @@
 		return http.StatusBadRequest, ReasonBodyCut, "the body ended before its announced end"
 	case errors.Is(err, errTarget):
 		return http.StatusBadRequest, ReasonTarget, "the path cannot be passed on unchanged"
+	case err.Canceled:
+		return http.StatusBadGateway, ReasonCanceled, "the caller left before the answer"
 	case err.TimedOut:
 		return http.StatusGatewayTimeout, ReasonDeadline, "no answer within the time limit"
 	case !err.Sent:
--- a/internal/proxy/front/decisionlog.go
+++ b/internal/proxy/front/decisionlog.go
@@ -36,6 +36,8 @@
 	switch {
 	case cut != nil:
 		log.LogAttrs(c.ctx, slog.LevelWarn, "call_cut", append(attrs, slog.Any("error", cut))...)
+	case failure.Reason == proxy.ReasonCanceled:
+		log.LogAttrs(c.ctx, slog.LevelInfo, "call_abandoned", append(attrs, failureAttrs(failure)...)...)
 	case failure.Outcome == proxy.OutcomeNotRun:
 		log.LogAttrs(c.ctx, slog.LevelInfo, "call_refused", append(attrs, failureAttrs(failure)...)...)
 	default:
--- a/internal/proxy/guard/decisionlog.go
+++ b/internal/proxy/guard/decisionlog.go
@@ -8,10 +8,11 @@
 )
 
 // logRefusal writes the line for a call that the guard does not pass on, with
-// what decided it.
+// what decided it. That a caller left is for the front to tell: the guard sees
+// the same for each attempt that another one has beaten.
 func (v *visit) logRefusal(f *proxy.Failure) {
 	g := v.guard
-	if !g.cfg.Logger.Enabled(v.ctx, slog.LevelInfo) {
+	if f.Reason == proxy.ReasonCanceled || !g.cfg.Logger.Enabled(v.ctx, slog.LevelInfo) {
 		return
 	}
 	load := g.cfg.Gate.Report(time.Now())
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -57,6 +57,7 @@
 	ReasonConnect        = "connect_failed"
 	ReasonReleased       = "claim_released" // between nodes only
 	ReasonCut            = "connection_cut"
+	ReasonCanceled       = "canceled" // the caller left, or another attempt answered first
 	ReasonNotReady       = "not_ready"
 	ReasonTooManyHop     = "too_many_hops"
 	ReasonHeaderTooLarge = "header_too_large"
--- a/internal/proxy/path/downstream_test.go
+++ b/internal/proxy/path/downstream_test.go
@@ -1,7 +1,11 @@
 package path_test
 
 import (
+	"context"
+	"io"
+	"log/slog"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -59,3 +63,28 @@
 		assert.Assert(t, below.FailedSince(begun))
 	})
 }
+
+// TestLogsTellWhoLeft guards against logs that blame a connection or a server
+// for a call whose caller left, which hides the calls that did fail.
+func TestLogsTellWhoLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		logger := slog.New(slog.NewTextHandler(&out, nil))
+		w := newTestbed(t, "a", func(string) http.Handler {
+			return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				<-r.Context().Done()
+			})
+		}, nil, tuning{
+			front: func(cfg *front.Config) { cfg.Logger = logger },
+			guard: func(_ string, cfg *guard.Config) { cfg.Logger = logger },
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		got := w.call("POST", "/", "a", func(r *http.Request) { *r = *r.WithContext(ctx) })
+		assert.Assert(t, got.err != nil)
+		time.Sleep(time.Second)
+		assert.Assert(t, strings.Contains(out.String(), "msg=call_abandoned"), out.String())
+		assert.Assert(t, !strings.Contains(out.String(), "connection_cut"), out.String())
+	})
+}
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -95,6 +95,7 @@
 	{"log_lines_dropped", "warn", "lines left out since the last one, beyond the bound on the log; field lines"},
 	{"call_refused", "info", "a call was refused as not run; fields call, route, service, reason, retry_after_ms, tries, refusals, elapsed_ms"},
 	{"call_failed", "warn", "a call ended without an answer of a backend server and may have run; fields as for call_refused"},
+	{"call_abandoned", "info", "the caller left before its call was answered; fields as for call_refused"},
 	{"call_cut", "warn", "an answer could not be passed on whole; fields as for call_refused"},
 	{"call_turned_away", "info", "the node beside a backend server did not pass a call to it; fields call, route, reason, in_use, queued, slots, wait_ms, left_ms, patience_ms"},
 	{"attempt_failed", "info", "a sending of a call failed or was refused; fields call, server, reason, outcome, elapsed_ms, again"},
