Leave servers that stay out of reach for longer each time

Each node tried each lost server again about every second, until it was found missing after about 6 s, and each try cost a call 250 ms: 5,200 attempts ended with connect_failed. Calls on kept connections that went silent did not count against a server at all.

Change: tries in a row that do not reach a server double the time for which calls are kept from it, up to four times; those sent at the same time count once; a connection that went silent counts as a failed one.

Two cases of TestPickRules failed without it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -144,4 +144,7 @@
 	RetryAfter time.Duration
 	// Report is the load report in the answer, if any.
 	Report *LoadReport
+	// Unreached is set when the node beside the server took no connection or
+	// went silent on one. It stands beside Failed.
+	Unreached bool
 }
--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -20,6 +20,9 @@
 // warm is past the cold-start ramp of servers first seen at start.
 var warm = start.Add(time.Minute)
 
+// unreached is a call to a node that took no connection within the time limit.
+var unreached = Result{Latency: 250 * time.Millisecond, NotRun: true, Failed: true, Unreached: true}
+
 var home = Locality{Region: "west", FailureDomain: "w1"}
 
 // service has one endpoint for each place, "region/domain", with ids s0, s1...
@@ -151,6 +154,27 @@
 			history: func(b *Balancer) {
 				answer(b, "s0", warm, Result{Latency: ms, NotRun: true, Failed: true})
 			}, after: 99 * ms},
+		{name: "a server that stays out of reach is left for longer", places: []string{"west/w1", "west/w2"}, none: "s0",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, unreached)
+				answer(b, "s0", warm.Add(1300*ms), unreached) // sent after the first second was over
+			}, after: 3200 * ms},
+		{name: "calls that failed together count once", places: []string{"west/w1", "west/w2"}, all: "s0",
+			history: func(b *Balancer) {
+				for i := range time.Duration(4) {
+					answer(b, "s0", warm.Add(i*ms), unreached)
+				}
+			}, after: 1004 * ms},
+		{name: "a server that went silent under a call is left too", places: []string{"west/w1", "west/w2"}, none: "s0",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, Result{Latency: 250 * ms, Failed: true, Unreached: true})
+			}, after: 999 * ms},
+		{name: "an answer ends the doubling", places: []string{"west/w1", "west/w2"}, all: "s0",
+			history: func(b *Balancer) {
+				answer(b, "s0", warm, unreached)
+				answer(b, "s0", warm.Add(1300*ms), fast)
+				answer(b, "s0", warm.Add(1600*ms), unreached)
+			}, after: 2700 * ms},
 		{name: "a refusal because of the request steers nothing away", places: []string{"west/w1", "west/w2"}, all: "s0",
 			history: func(b *Balancer) {
 				answer(b, "s0", warm, Result{Latency: ms, NotRun: true})
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -33,7 +33,8 @@
 	badShare float64 // recent share of calls that failed or were shed, fading
 	badAt    time.Time
 
-	steerUntil time.Time // the server asked for no calls until then
+	steerUntil time.Time // the server asked for no calls until then, or was not reached
+	unreached  int       // tries in a row that did not reach it, those at the same time counted once
 
 	outlier
 }
@@ -178,14 +179,21 @@
 // that does not answer costs each call its time limit.
 const steerLatencies = 4
 
+// maxUnreached bounds the doublings of the time that calls are kept from a
+// server that is not reached.
+const maxUnreached = 3
+
 // steer keeps calls away from a server that asked for it or that could not be
 // reached. Other refusals are about the request and say nothing of the server.
+// The time doubles while the server stays out of reach: nodes learn of its end
+// after seconds, and each try costs a call the time limit of connections.
 func (s *server) steer(cfg Config, now time.Time, r Result) {
+	s.countUnreached(now, r)
 	wait := r.RetryAfter
 	if wait <= 0 && r.Failed {
-		wait = max(cfg.SteerAway, steerLatencies*r.Latency)
+		wait = max(cfg.SteerAway, steerLatencies*r.Latency) << max(s.unreached-1, 0)
 	}
-	if !r.NotRun || wait <= 0 {
+	if !r.NotRun && !r.Unreached || wait <= 0 {
 		return
 	}
 	if until := now.Add(min(wait, cfg.SteerAwayMax)); until.After(s.steerUntil) {
@@ -193,6 +201,18 @@
 	}
 }
 
+// countUnreached counts the tries that did not reach the server. A try that
+// began before calls were kept away says nothing new.
+func (s *server) countUnreached(now time.Time, r Result) {
+	switch {
+	case r.Canceled:
+	case !r.Unreached:
+		s.unreached = 0
+	case !now.Add(-r.Latency).Before(s.steerUntil):
+		s.unreached = min(s.unreached+1, maxUnreached)
+	}
+}
+
 // judge updates the ejection state. A refusal without a failure and a
 // cancelled call say nothing about the server's health.
 func (s *server) judge(cfg Config, now time.Time, r Result) {
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -312,6 +312,7 @@
 	r := balance.Result{Latency: t.elapsed, NotRun: t.outcome() == retry.NotRun, Shed: t.reason() == proxy.ReasonShed}
 	if t.answer == nil {
 		r.Failed = c.body.Err() == nil
+		r.Unreached = r.Failed && t.err != nil && !t.err.Canceled && !t.err.TimedOut
 		return r
 	}
 	h := t.answer.Header
