Let a higher position of the source win over a newer view of a lower one

Cause, found on reading the change: a node that learned of a newer position from a peer which had read it longer ago than its own last read ignored it, and could take its old configuration for the newest when it started.

TestHigherPositionIsTheNewest failed with holdsNewest true.

--- a/internal/distribution/startsource.go
+++ b/internal/distribution/startsource.go
@@ -36,18 +36,22 @@
 	at       time.Time
 }
 
-// noteSource notes the newest position of the source. An older view never
-// replaces a newer one.
+// newerThan reports whether a view replaces another one: a higher position
+// always does, however long ago it was seen.
+func (v sourceView) newerThan(have *sourceView) bool {
+	if have == nil {
+		return true
+	}
+	if c := v.position.Compare(have.position); c != 0 {
+		return c > 0
+	}
+	return v.at.After(have.at)
+}
+
+// noteSource notes the newest position of the source.
 func (a *Agent) noteSource(p profile.Position, at time.Time) {
 	next := &sourceView{position: p, at: at}
-	for {
-		have := a.newest.Load()
-		if have != nil && !at.After(have.at) {
-			return
-		}
-		if have != nil && p.Compare(have.position) < 0 {
-			return
-		}
+	for have := a.newest.Load(); next.newerThan(have); have = a.newest.Load() {
 		if a.newest.CompareAndSwap(have, next) {
 			return
 		}
--- a/internal/distribution/startsource_test.go
+++ b/internal/distribution/startsource_test.go
@@ -123,3 +123,19 @@
 	t.Fatal("no such id")
 	return ""
 }
+
+// TestHigherPositionIsTheNewest guards against a node that takes its old
+// configuration for the newest because the node that told of a newer one had
+// read it longer ago.
+func TestHigherPositionIsTheNewest(t *testing.T) {
+	at := func(offset int64) profile.Position { return profile.Position{Era: 1, Offset: offset} }
+	now := time.Now()
+	a := newTestAgent(t)
+	held, _ := a.Position()
+	a.noteSource(held, now)
+	assert.Assert(t, a.holdsNewest())
+	a.noteSource(at(held.Offset+1), now.Add(-time.Second))
+	assert.Assert(t, !a.holdsNewest())
+	a.noteSource(held, now.Add(time.Second))
+	assert.Assert(t, !a.holdsNewest())
+}
