--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -90,7 +90,7 @@
 	unackedLimit = 500 * time.Millisecond
 	// nodeConnectTimeout is several round trips between regions. A node that
 	// lost its power does not answer at all.
-	nodeConnectTimeout = 250 * time.Millisecond
+	nodeConnectTimeout = 120 * time.Millisecond
 	// backendFreshAfter keeps calls that must not be sent twice from
 	// connections that the backend server may be about to close.
 	backendFreshAfter = time.Second
