--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -21,7 +21,7 @@
 var warm = start.Add(time.Minute)
 
 // unreached is a call to a node that took no connection within the time limit.
-var unreached = Result{Latency: 125 * time.Millisecond, NotRun: true, Failed: true, Unreached: true}
+var unreached = Result{Latency: 250 * time.Millisecond, NotRun: true, Failed: true, Unreached: true}
 
 var home = Locality{Region: "west", FailureDomain: "w1"}
 
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -179,10 +179,6 @@
 // that does not answer costs each call its time limit.
 const steerLatencies = 4
 
-// unreachedLatencies is the same for a server that was not reached, whose
-// failed try takes the short time limit of a connection.
-const unreachedLatencies = 8
-
 // maxUnreached bounds the doublings of the time that calls are kept from a
 // server that is not reached.
 const maxUnreached = 3
@@ -195,11 +191,7 @@
 	s.countUnreached(now, r)
 	wait := r.RetryAfter
 	if wait <= 0 && r.Failed {
-		latencies := time.Duration(steerLatencies)
-		if r.Unreached {
-			latencies = unreachedLatencies
-		}
-		wait = max(cfg.SteerAway, latencies*r.Latency) << max(s.unreached-1, 0)
+		wait = max(cfg.SteerAway, steerLatencies*r.Latency) << max(s.unreached-1, 0)
 	}
 	if !r.NotRun && !r.Unreached || wait <= 0 {
 		return
