--- a/internal/proxy/path/downstream_test.go
+++ b/internal/proxy/path/downstream_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -64,12 +65,32 @@
 	})
 }
 
+// lockedText keeps what is written to it.
+type lockedText struct {
+	mu   sync.Mutex
+	text strings.Builder // guarded by mu
+}
+
+// Write implements io.Writer.
+func (l *lockedText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// String returns all that was written so far.
+func (l *lockedText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 // TestLogsTellWhoLeft guards against logs that blame a connection or a server
 // for a call whose caller left, which hides the calls that did fail.
 func TestLogsTellWhoLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var out strings.Builder
-		logger := slog.New(slog.NewTextHandler(&out, nil))
+		out := &lockedText{}
+		logger := slog.New(slog.NewTextHandler(out, nil))
 		w := newTestbed(t, "a", func(string) http.Handler {
 			return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
