Count an attempt whose first sending was lost as a try

A call on a kept connection was reset as the node beside the server was killed; the front sent it to the same node on a new connection, which was refused, and took the attempt for a refusal. A retry and a hedge followed, where one of the two was allowed.

Change: what a lost first sending may have done stands beside the second one; the attempt counts as a try and its outcome is unknown.

--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -32,6 +32,9 @@
 	failure   *proxy.Failure // when the call went to no server
 	exhausted bool           // a retry would have been right but is not allowed
 	load      *balance.LoadReport
+	// sentBefore is set when the call was sent on a kept connection that was
+	// lost, and once more on a new one: the server may have run the first.
+	sentBefore bool
 }
 
 // outcome returns what is known of the attempt.
@@ -136,9 +139,10 @@
 )
 
 // count notes an attempt that ended. A refusal by the node beside a backend
-// server adds no load there, so it is no try.
+// server adds no load there, so it is no try unless an earlier sending of the
+// attempt may have run.
 func (c *call) count(t *tried) {
-	if t.outcome() == retry.NotRun && t.reason() != proxy.ReasonShed {
+	if t.outcome() == retry.NotRun && t.reason() != proxy.ReasonShed && !t.sentBefore {
 		c.refusals++
 		return
 	}
@@ -215,10 +219,14 @@
 	c.front.cfg.Stats.Begin(choice.Endpoint.ID, t.begun)
 	t.answer, t.err = c.send(ctx, choice, false, early)
 	if c.mayRepeat(t.err) {
-		if t.err.Sent {
+		t.sentBefore = t.err.Sent
+		if t.sentBefore {
 			c.mayHaveRun.Store(true)
 		}
 		t.answer, t.err = c.send(ctx, choice, true, early)
+		if t.err != nil {
+			t.err.Sent = t.err.Sent || t.sentBefore
+		}
 	}
 	t.elapsed = time.Since(t.begun)
 	if t.answer != nil {
--- a/internal/proxy/path/fault_test.go
+++ b/internal/proxy/path/fault_test.go
@@ -457,3 +457,35 @@
 		assert.Assert(t, <-left >= 58*time.Second, "Wait returned while a download was under way")
 	})
 }
+
+// TestLostSendingCountsAsATry guards against a call that runs on more servers
+// than its route allows: it was sent to a node that died, which then refused a
+// new connection, and that counted as a refusal only.
+func TestLostSendingCountsAsATry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ran atomic.Int64
+		var w *testbed
+		w = newTestbed(t, "abc", func(id string) http.Handler {
+			return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/lose" {
+					return
+				}
+				if ran.Add(1) == 1 {
+					w.net.kill("guard-" + id)
+					return
+				}
+				time.Sleep(500 * time.Millisecond) // long enough for a hedge
+			})
+		}, func(r *snapshot.Route) {
+			r.MaxAttempts = 2
+			r.Service.Policy.Hedge, r.Service.Policy.HedgeAfter = true, jsonc.Duration(50*time.Millisecond)
+		})
+		for range 30 { // keeps a connection to each node and earns retries
+			assert.Equal(t, w.call("GET", "/", "", nil).status, 200)
+		}
+		got := w.call("GET", "/lose", "", nil)
+		assert.Equal(t, got.status, 200, got.body)
+		time.Sleep(time.Second)
+		assert.Equal(t, ran.Load(), int64(2))
+	})
+}
