--- a/internal/proxy/path/http_test.go
+++ b/internal/proxy/path/http_test.go
@@ -307,13 +307,20 @@
 	unreadBodyWait = time.Second
 )
 
-// TestEarlyAnswerToLongBody guards against a connection that breaks, or whose
-// next call is misread, after an answer that came before the end of a body.
-func TestEarlyAnswerToLongBody(t *testing.T) {
-	address := newPath(t, scripted(t, func(c net.Conn, r *bufio.Reader, _ *http.Request) {
+// newEarlyPath returns the address of a path to a backend server that answers
+// 403 before it reads the body.
+func newEarlyPath(t *testing.T) string {
+	t.Helper()
+	return newPath(t, scripted(t, func(c net.Conn, r *bufio.Reader, _ *http.Request) {
 		_, _ = io.WriteString(c, "HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 		_, _ = io.Copy(io.Discard, r)
 	}))
+}
+
+// TestEarlyAnswerToLongBody guards against a connection that breaks, or whose
+// next call is misread, after an answer that came before the end of a body.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	address := newEarlyPath(t)
 	overBoth(t, func(t *testing.T, c *http.Client) {
 		for _, size := range []int{100, 70000, 150000} {
 			for range 5 {
@@ -402,10 +409,7 @@
 // while the caller still sends the body of a call that is answered already:
 // the reset can reach the caller before it has read the answer.
 func TestRestOfBodyAfterEarlyAnswer(t *testing.T) {
-	address := newPath(t, scripted(t, func(c net.Conn, r *bufio.Reader, _ *http.Request) {
-		_, _ = io.WriteString(c, "HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-		_, _ = io.Copy(io.Discard, r)
-	}))
+	address := newEarlyPath(t)
 	conn, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	defer conn.Close()
@@ -431,10 +435,7 @@
 // TestCallerWhoNeverSendsTheRest guards against connections that stay open
 // for good after an early answer.
 func TestCallerWhoNeverSendsTheRest(t *testing.T) {
-	address := newPath(t, scripted(t, func(c net.Conn, r *bufio.Reader, _ *http.Request) {
-		_, _ = io.WriteString(c, "HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-		_, _ = io.Copy(io.Discard, r)
-	}))
+	address := newEarlyPath(t)
 	conn, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	defer conn.Close()
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -12,7 +12,7 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	callerIdleTimeout = time.Minute
-	// netHTTPHeaderBytes lies above maxHeaderBytes, so that calls somewhat
+	// netHTTPHeaderBytes lies above MaxHeaderBytes, so that calls somewhat
 	// over the limit get our answer in place of net/http's text.
 	netHTTPHeaderBytes = 4 * MaxHeaderBytes
 	// unreadBodyWait is how long a caller may take to send the rest of a body
