Distribution: a node that is cut off alone keeps its links and takes back what it concluded

Cause: since suspected neighbours no longer count for the quorum, a node that reaches nobody suspects all its neighbours, and then one suspicion confirms a death after 1 s. It had no links left when it returned and waited for a random probe. Two more causes showed once it kept its links: neighbours sent it its own dead entry over connections from before the cut, which may be silent, and its table of dead members spread by digest to nodes that call healthy servers.

Change: a node without contact with any linked node is isolated. It confirms deaths by age alone (10 s), reads the configuration itself, and on the first contact restores the entries that it declared dead meanwhile. The dead entry is sent on a new connection.

--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -65,10 +65,12 @@
 	topology        atomic.Pointer[membership.Topology]
 	topologyChanged *broadcast // notified when the topology is recomputed
 	detector        *membership.Detector
-	peerPositions   *shard.Map[profile.Position] // last position that each node reported
-	digestDiffers   *shard.Map[time.Time]        // when a neighbour's digest began to differ
-	inFlight        *shard.Map[bool]             // tasks of startUnlessRunning, by purpose and node
-	digest          atomic.Uint64                // of the table as of the last heartbeat
+	peerPositions   *shard.Map[profile.Position]  // last position that each node reported
+	digestDiffers   *shard.Map[time.Time]         // when a neighbour's digest began to differ
+	inFlight        *shard.Map[bool]              // tasks of startUnlessRunning, by purpose and node
+	digest          atomic.Uint64                 // of the table as of the last heartbeat
+	isolated        atomic.Bool                   // the node reaches no linked node, see updateIsolation
+	isolatedDeaths  *shard.Map[membership.Member] // earlier entries of members that it declared dead meanwhile
 
 	buildDue       chan struct{} // a build is due
 	installed      *broadcast    // notified when a snapshot is installed
@@ -98,10 +100,11 @@
 func NewAgent(cfg Config) *Agent {
 	a := &Agent{
 		Config: cfg, createdAt: time.Now(), replica: newReplica(cfg.Logger), topologyChanged: newBroadcast(), installed: newBroadcast(), detector: membership.NewDetector(),
-		peerPositions: shard.NewMap[profile.Position](shard.DefaultCount),
-		digestDiffers: shard.NewMap[time.Time](shard.DefaultCount),
-		inFlight:      shard.NewMap[bool](shard.DefaultCount),
-		buildDue:      make(chan struct{}, 1), membersChanged: make(chan struct{}, 1), pullDue: make(chan struct{}, 1),
+		peerPositions:  shard.NewMap[profile.Position](shard.DefaultCount),
+		digestDiffers:  shard.NewMap[time.Time](shard.DefaultCount),
+		isolatedDeaths: shard.NewMap[membership.Member](0),
+		inFlight:       shard.NewMap[bool](shard.DefaultCount),
+		buildDue:       make(chan struct{}, 1), membersChanged: make(chan struct{}, 1), pullDue: make(chan struct{}, 1),
 		outbox:        shard.NewMap[queuedChange](shard.DefaultCount),
 		transferSlots: make(chan struct{}, maxTransfers),
 		peersSearched: make(chan struct{}),
@@ -187,4 +190,7 @@
 	return slices.Concat(t.Neighbours, t.Bridges)
 }
 
-func (a *Agent) isReader() bool { return a.topology.Load().IsReader(a.Self) }
+// isReader reports whether the node reads the log or the source.
+func (a *Agent) isReader() bool {
+	return a.isolated.Load() || a.topology.Load().IsReader(a.Self)
+}
--- a/internal/distribution/handler.go
+++ b/internal/distribution/handler.go
@@ -32,6 +32,7 @@
 // node is known before its announcement is read.
 func (a *Agent) Hello(_ context.Context, r peer.HelloRequest) (peer.HelloResponse, error) {
 	if r.Node.ID != "" {
+		a.endIsolation()
 		a.merge(r.Node.ID, []membership.Member{r.Node})
 	}
 	if r.NothingReceived {
--- a/internal/distribution/heartbeat.go
+++ b/internal/distribution/heartbeat.go
@@ -42,6 +42,7 @@
 		a.digest.Store(a.Table.Digest())
 		a.sendHeartbeats(ctx)
 		a.probeSilent(ctx, now)
+		a.updateIsolation(now)
 		a.declareDead(now)
 		a.probeDeparted(ctx)
 		if now.Sub(compacted) >= compactInterval {
@@ -165,6 +166,7 @@
 
 // mergeHello merges the entry and the position from the answer to a hello.
 func (a *Agent) mergeHello(answer peer.HelloResponse) {
+	a.endIsolation()
 	a.merge(answer.Node.ID, []membership.Member{answer.Node})
 	if answer.Position != nil {
 		a.recordSourceAge(*answer.Position, answer.SourceAgeMs)
@@ -184,21 +186,12 @@
 	}
 }
 
-func (a *Agent) declareDead(now time.Time) {
-	all := a.Table.All()
-	neighboursOf := func(m membership.Member) []membership.Member { return membership.Neighbours(m, all) }
-	dead := a.detector.ConfirmDead(a.Table, neighboursOf, now)
-	for _, m := range dead {
-		a.Logger.Warn("member_dead", "node", m.ID)
-	}
-	a.merge(a.Self.ID, dead)
-}
-
 // Heartbeat records that the sender is alive and its position, and compares its
 // digest with that of this node.
 func (a *Agent) Heartbeat(h peer.Heartbeat) {
 	now := time.Now()
 	a.detector.RecordContact(h.ID, now)
+	a.endIsolation()
 	if h.Position.Epoch > 0 {
 		a.recordPeerPosition(h.ID, h.Position)
 	}
@@ -213,10 +206,12 @@
 }
 
 // sendDeadEntry sends a node declared dead its own entry, so that it refutes it.
+// It uses a new connection: the one from before the node was lost may be silent.
 func (a *Agent) sendDeadEntry(m membership.Member) {
 	a.startUnlessRunning("dead", m.ID, func() {
 		ctx, cancel := context.WithTimeout(a.runCtx, sendTimeout)
 		defer cancel()
+		a.Peers.Drop(m.ID)
 		_ = a.Peers.Members(ctx, m, peer.MemberEntries{SenderID: a.Self.ID, Entries: []membership.Member{m}})
 	})
 }
--- a/internal/distribution/members_test.go
+++ b/internal/distribution/members_test.go
@@ -84,18 +84,22 @@
 // or declares them dead when it returns.
 func TestUnreachableNodeRejoins(t *testing.T) {
 	cutOne := func(from, to string) bool { return from == "n006" || to == "n006" }
+	cut := func(h *harness) { h.Net.SetCut(cutOne) }
+	mend := func(h *harness) { h.Net.SetCut(func(string, string) bool { return false }) }
 	for _, c := range []struct {
 		name         string
 		lose, regain func(h *harness)
+		away         time.Duration // time for which the node stays lost after it was found dead
 	}{
-		{"paused", func(h *harness) { h.Net.Pause("n006") }, func(h *harness) { h.Net.Resume("n006") }},
-		{"cut", func(h *harness) { h.Net.SetCut(cutOne) }, func(h *harness) { h.Net.SetCut(func(string, string) bool { return false }) }},
+		{"paused", func(h *harness) { h.Net.Pause("n006") }, func(h *harness) { h.Net.Resume("n006") }, 5 * time.Second},
+		{"cut", cut, mend, 5 * time.Second},
+		{"cut for a minute", cut, mend, time.Minute},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			inCluster(t, 16, time.Hour, func(h *harness) {
 				c.lose(h)
 				h.eventually(7*time.Second, "the lost node is dead", h.everyNodeSees("n006", membership.StatusDead))
-				time.Sleep(5 * time.Second)
+				time.Sleep(c.away)
 				c.regain(h)
 				h.eventually(limit, "the node is alive for all", h.everyNodeSees("n006", membership.StatusAlive))
 				h.eventually(15*time.Second, "all are alive for all", func() bool {
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -116,15 +116,30 @@
 // not change the table.
 // neighboursOf returns the neighbours of a member.
 func (d *Detector) ConfirmDead(t *Table, neighboursOf func(Member) []Member, now time.Time) []Member {
-	var out []Member
 	pending := d.pendingCopy()
+	return d.confirmDead(t, pending, func(m Member, p pendingSuspicion) bool {
+		return confirmed(p, countUnsuspected(neighboursOf(m), pending), now)
+	})
+}
+
+// ConfirmDeadIsolated is ConfirmDead for a node that reaches none of its linked
+// nodes. Its own suspicions show only that it is cut off itself, so they are
+// confirmed by their age alone.
+func (d *Detector) ConfirmDeadIsolated(t *Table, now time.Time) []Member {
+	return d.confirmDead(t, d.pendingCopy(), func(_ Member, p pendingSuspicion) bool {
+		return now.Sub(p.firstReported) >= singleSuspicionTimeout
+	})
+}
+
+func (d *Detector) confirmDead(t *Table, pending map[string]pendingSuspicion, isConfirmed func(Member, pendingSuspicion) bool) []Member {
+	var out []Member
 	for id, p := range pending {
 		m, ok := t.Get(id)
 		if !ok || m.Incarnation != p.incarnation || m.Sequence != p.sequence {
 			d.pending.Delete(id) // refuted, or the node restarted
 			continue
 		}
-		if confirmed(p, countUnsuspected(neighboursOf(m), pending), now) {
+		if isConfirmed(m, p) {
 			m.Status = StatusDead
 			out = append(out, m)
 			d.pending.Delete(id)
@@ -133,6 +148,23 @@
 	return out
 }
 
+// AllSilent reports whether there was no contact with any of the nodes for
+// HeartbeatTimeout. A node without a recorded contact is not silent yet.
+func (d *Detector) AllSilent(nodes []Member, now time.Time) bool {
+	for _, m := range nodes {
+		last, ok := d.lastContact.Get(m.ID)
+		if !ok || now.Sub(last) < HeartbeatTimeout {
+			return false
+		}
+	}
+	return true
+}
+
+// DropSuspicionsBy drops the suspicions that only one member has reported.
+func (d *Detector) DropSuspicionsBy(id string) {
+	d.pending.DeleteFunc(func(_ string, p pendingSuspicion) bool { return len(p.reporters) == 1 && p.reporters[id] })
+}
+
 // pendingCopy returns a copy of pending, so that the caller holds no shard lock.
 func (d *Detector) pendingCopy() map[string]pendingSuspicion {
 	out := map[string]pendingSuspicion{}
