--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -69,6 +69,7 @@
 	digestDiffers   *shard.Map[time.Time]         // when a neighbour's digest began to differ
 	inFlight        *shard.Map[bool]              // tasks of startUnlessRunning, by purpose and node
 	digest          atomic.Uint64                 // of the table as of the last heartbeat
+	refusedEntries  atomic.Int64                  // entries that Member.Validate rejected
 	isolated        atomic.Bool                   // the node reaches no linked node, see updateIsolation
 	isolatedDeaths  *shard.Map[membership.Member] // earlier entries of members that it declared dead meanwhile
 
--- a/internal/distribution/gossip.go
+++ b/internal/distribution/gossip.go
@@ -46,7 +46,12 @@
 // from is the node that sent them, or "" for the directory.
 func (a *Agent) merge(from string, entries []membership.Member) {
 	var others []membership.Member
+	now := time.Now()
 	for _, e := range entries {
+		if err := e.Validate(now); err != nil {
+			a.refuseEntry(from, e, err)
+			continue
+		}
 		if e.ID == a.Self.ID {
 			a.refute(e)
 			continue
@@ -65,6 +70,18 @@
 	}
 }
 
+// refuseEntry counts and logs an entry that is not from a node.
+func (a *Agent) refuseEntry(from string, e membership.Member, err error) {
+	a.refusedEntries.Add(1)
+	a.Logger.Warn("member_refused", "node", e.ID[:min(len(e.ID), maxLoggedIDBytes)], "from", from, "error", err)
+}
+
+// maxLoggedIDBytes bounds the part of a refused entry's id that is logged.
+const maxLoggedIDBytes = 64
+
+// RefusedEntries returns how many member entries were refused since the start.
+func (a *Agent) RefusedEntries() int64 { return a.refusedEntries.Load() }
+
 func (a *Agent) tableChanged() {
 	wake(a.membersChanged)
 	a.requestBuild()
@@ -88,7 +105,7 @@
 
 func (a *Agent) handleSuspicion(from string, s membership.Suspicion, now time.Time) {
 	if s.ID == a.Self.ID {
-		a.refute(membership.Member{ID: s.ID, Incarnation: s.Incarnation, Sequence: s.Sequence, Status: membership.StatusDead})
+		a.merge(from, []membership.Member{{ID: s.ID, Incarnation: s.Incarnation, Sequence: s.Sequence, Status: membership.StatusDead}})
 		return
 	}
 	have, ok := a.Table.Get(s.ID)
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/shard"
@@ -205,9 +206,9 @@
 	if received.ID != self.ID || !received.Newer(self) {
 		return self, false
 	}
-	if received.Incarnation > self.Incarnation {
+	if received.Incarnation > self.Incarnation || received.Sequence == math.MaxUint64 {
 		// The clock was ahead at an earlier start, so other nodes would ignore
-		// this incarnation as older.
+		// this incarnation as older; or no higher sequence number is left.
 		self.Incarnation = received.Incarnation + 1
 		return self, true
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -31,6 +31,7 @@
 	set(telemetry.MetricReady, boolGauge(status.Ready))
 	set(telemetry.MetricDraining, boolGauge(status.Draining))
 	set(telemetry.MetricMembers, float64(status.Members))
+	set(telemetry.MetricRefusedEntries, float64(n.agent.RefusedEntries()))
 	n.updateCallGauges(set)
 	snap := n.snapshots.Latest()
 	if snap == nil {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -58,7 +58,11 @@
 
 // Report implements ReportReceiver.
 func (r reportReceiver) Report(ctx context.Context, report serverstate.Report) error {
-	change, err := r.tracker.Accept(report)
+	var change serverstate.Change
+	err := report.Validate(time.Now())
+	if err == nil {
+		change, err = r.tracker.Accept(report)
+	}
 	if err != nil {
 		r.logger.Warn("server_report_refused", "server", report.ID, "born", report.StartMs, "number", report.Sequence, "error", err)
 		return err
--- a/internal/serverstate/serverstate.go
+++ b/internal/serverstate/serverstate.go
@@ -18,10 +18,33 @@
 	Sequence  int64  // increases with each report of one start
 	Service   string
 	Address   string
-	Slots     int           // calls that it can run at once
-	Warmup    time.Duration // remaining time for which it is slow after its start
-	Leaving   bool          // it takes no new calls
-	Departure bool          // it was deregistered; the report has no address, service or slots
+	Slots     int  // calls that it can run at once
+	Leaving   bool // it takes no new calls
+	Departure bool // it was deregistered; the report has no address, service or slots
+}
+
+const (
+	// maxSlots bounds the slots that a report may claim.
+	maxSlots = 1 << 16
+	// maxClockAhead is how far a server's start may lie in the future. Clocks of
+	// instances differ by seconds; a start years ahead would make every real
+	// report look stale.
+	maxClockAhead = 24 * time.Hour
+)
+
+// Validate reports why a report cannot be from a backend server.
+func (r Report) Validate(now time.Time) error {
+	switch {
+	case r.ID == "":
+		return errors.New("the report names no instance")
+	case r.StartMs < 0 || r.StartMs > now.Add(maxClockAhead).UnixMilli():
+		return errors.Newf("the start %d ms is out of range", r.StartMs)
+	case r.Sequence < 0:
+		return errors.Newf("the sequence number %d is negative", r.Sequence)
+	case !r.Departure && (r.Slots <= 0 || r.Slots > maxSlots):
+		return errors.Newf("%d slots are out of range", r.Slots)
+	}
+	return nil
 }
 
 // Errors that Accept returns.
--- a/internal/serverstate/serverstate_test.go
+++ b/internal/serverstate/serverstate_test.go
@@ -1,7 +1,9 @@
 package serverstate
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
@@ -79,3 +81,28 @@
 	assert.NilError(t, err)
 	assert.Assert(t, !c.Started && !c.Changed)
 }
+
+// TestOddReportsAreRefused guards against a report whose numbers are out of
+// range: a start far in the future makes every real report look stale.
+func TestOddReportsAreRefused(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	good := report(now.UnixMilli(), 1, false)
+	assert.NilError(t, good.Validate(now))
+	assert.NilError(t, Report{ID: "i", Departure: true}.Validate(now), "a departure has no slots")
+	for _, c := range []struct {
+		name   string
+		change func(*Report)
+	}{
+		{"no id", func(r *Report) { r.ID = "" }},
+		{"start far in the future", func(r *Report) { r.StartMs = math.MaxInt64 }},
+		{"start in nanoseconds", func(r *Report) { r.StartMs = now.UnixNano() }},
+		{"negative start", func(r *Report) { r.StartMs = -1 }},
+		{"negative sequence", func(r *Report) { r.Sequence = -1 }},
+		{"no slots", func(r *Report) { r.Slots = 0 }},
+		{"huge slots", func(r *Report) { r.Slots = math.MaxInt64 }},
+	} {
+		r := good
+		c.change(&r)
+		assert.Assert(t, r.Validate(now) != nil, c.name)
+	}
+}
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -35,6 +35,7 @@
 	MetricPeerBytesIn    = "peer_bytes_in"
 	MetricPeerBytesOut   = "peer_bytes_out"
 	MetricBatchers       = "claim_batchers"
+	MetricRefusedEntries = "member_entries_refused"
 )
 
 // MetricCatalog lists every metric of a node.
@@ -57,6 +58,7 @@
 	{MetricPeerBytesIn, "gauge", "bytes", "bytes received on the inner protocol since the start"},
 	{MetricPeerBytesOut, "gauge", "bytes", "bytes sent on the inner protocol since the start"},
 	{MetricBatchers, "gauge", "partitions", "partitions whose claims this node batches"},
+	{MetricRefusedEntries, "gauge", "entries", "member entries refused as malformed since the start"},
 }
 
 // EventCatalog lists every log event at level info and above.
@@ -75,8 +77,11 @@
 	{"announcements_unread", "warn", "a starting node could not read the announcements of nodes; it asks the seeds if it knows no other node"},
 	{"suspected", "info", "a neighbour does not answer on its existing or on a new connection; field node"},
 	{"probe_failed", "info", "a connection attempt to a neighbour without heartbeats failed"},
+	{"isolated", "warn", "the node reaches no linked node; it reads the configuration itself and declares nodes dead later; field linked"},
+	{"isolation_ended", "info", "the node reaches another node again; field restored counts the members that it had declared dead meanwhile"},
+	{"member_refused", "warn", "a member entry is malformed, for example a port out of range or a start far in the future; the node ignores it; fields node, from"},
 	{"member_dead", "warn", "a member was declared dead: two nodes suspected it, or one for 10 s or as one of fewer than three neighbours; field node"},
-	{"announcement_unreadable", "warn", "a record of the stream members could not be decoded"},
+	{"announcement_unreadable", "warn", "records among the announcements of nodes could not be decoded and were skipped"},
 	{"announce_failed", "warn", "an announcement of the node's entry failed; periodic announcements are retried"},
 	{"news_unsent", "error", "quarantine entries could not be encoded; other nodes get them only from the headers of answers"},
 	{"news_unreadable", "warn", "a neighbour sent quarantine entries that could not be decoded"},
