Bound informational answers and the wait for a discarded body

Cause, from new tests with servers and callers whose bytes never end: 1xx answers without end held a call until its deadline (504 after 2 s), since the hook for them lifts net/http's own bound. A failed answer with an announced body that never came held the call for up to 15 s before the next server got it (504 after 15 s, where the next server answers at once).

Change: at most 32 informational answers a call; Discard waits 20 ms for the rest of a small body and then closes the connection.

Tests: endless_test.go, 18 cases: heads, bodies, chunk extensions, trailers, bytes after an answer, requests of callers. Two failed before, the others passed (net/http bounds those heads).

--- a/internal/proxy/transmission.go
+++ b/internal/proxy/transmission.go
@@ -35,6 +35,8 @@
 	ErrNoProgress = errors.New("the body made no progress")
 	ErrSuperseded = errors.New("another transmission of the call answered first")
 	ErrMismatch   = errors.New("the answer belongs to another call")
+
+	errInformational = errors.New("too many informational answers")
 )
 
 // Transmission describes one transmission of a call to an address.
@@ -85,10 +87,15 @@
 // keep the connection.
 const maxDiscardBytes = 4 << 10
 
+// discardWait is how long Discard waits for the rest of a small body. It usually
+// arrives with the header; a server that never sends it must not hold the call.
+const discardWait = 20 * time.Millisecond
+
 // Discard ends the exchange and keeps the connection when the body is small.
 func (a *Answer) Discard() {
 	if a.ContentLength >= 0 && a.ContentLength <= maxDiscardBytes {
-		_, _ = io.Copy(io.Discard, a)
+		a.timer.Reset(discardWait)
+		_, _ = io.Copy(io.Discard, a.Body)
 	}
 	a.Close()
 }
@@ -178,15 +185,23 @@
 
 func (x *exchange) trace(early func(int, textproto.MIMEHeader)) *httptrace.ClientTrace {
 	t := &httptrace.ClientTrace{GotConn: x.gotConn}
-	if early != nil {
-		t.Got1xxResponse = func(code int, header textproto.MIMEHeader) error {
+	count := 0
+	t.Got1xxResponse = func(code int, header textproto.MIMEHeader) error {
+		if count++; count > maxInformationalAnswers {
+			return errInformational
+		}
+		if early != nil {
 			early(code, header)
-			return nil
 		}
+		return nil
 	}
 	return t
 }
 
+// maxInformationalAnswers bounds the 1xx answers to one call. Without a bound, a
+// server that sends them without end would hold the call until its deadline.
+const maxInformationalAnswers = 32
+
 // failure seals the connection, so that no byte is sent after it has reported
 // Sent as false.
 func (x *exchange) failure(err, cause error) *SendError {
