Order waiting calls by rank and latency objective

Cause: on the Lavacani site nearly all calls were served, but late. Calls that no server could serve in time were held until their deadline.

Change: rank and time to the objective travel between nodes; admission orders by them, refuses by the expected wait, keeps a least share for each rank (docs/decisions/011). The queue is one list that is scanned, since it holds at most 128 calls.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -44,6 +44,7 @@
 	inUse    [2][2]int            // slots in use by priority and class; guarded by mu
 	demand   demand               // guarded by mu
 	pressure pressure             // guarded by mu
+	shares   rankShares           // guarded by mu
 	running  map[*Ticket]struct{} // running background calls that were not preempted; guarded by mu
 	started  time.Time            // when the backend server started; guarded by mu
 	draining bool                 // guarded by mu
@@ -109,6 +110,7 @@
 	defer c.mu.Unlock()
 	t := c.newTicketLocked(now, r, times)
 	c.demand.addArrival(t.class, now)
+	c.shares.addCall(t.rank, now)
 	if d, refused := c.refuseLocked(now, t, r.MaxWait); refused {
 		return nil, d
 	}
@@ -136,17 +138,33 @@
 	if !c.cfg.SingleClass {
 		class = c.demand.classOf(times)
 	}
-	return &Ticket{
+	expected := times.expected(now)
+	t := &Ticket{
 		controller:  c,
 		route:       r.Route,
 		priority:    r.Priority,
 		class:       class,
+		rank:        min(max(r.Rank, 0), maxRank),
 		arrived:     now,
-		latestStart: r.Deadline.Add(-times.expected(now)),
+		latestStart: r.Deadline.Add(-expected),
 		ready:       make(chan Decision, 1),
 
 		preempted: make(chan struct{}),
 	}
+	t.objectiveStart = t.latestStart
+	if !r.Objective.IsZero() {
+		t.hasObjective = true
+		margin := time.Duration(objectiveMargin * float64(expected))
+		t.objectiveStart = minTime(t.latestStart, r.Objective.Add(-margin))
+	}
+	return t
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // refuseLocked reports whether a call is refused on arrival, and the refusal.
@@ -156,7 +174,7 @@
 		return c.refusalLocked(now, ReasonDraining), true
 	case t.latestStart.Before(now):
 		return c.refusalLocked(now, ReasonDeadline), true
-	case c.exceedsMaxWaitLocked(now, t, maxWait):
+	case c.exceedsMaxWaitLocked(now, t, maxWait), c.startsTooLateLocked(now, t):
 		return c.refusalLocked(now, ReasonOverloaded), true
 	case c.makeRoomLocked(now, t):
 		return Decision{}, false
@@ -171,18 +189,33 @@
 	if maxWait <= 0 || c.mayRunLocked(now, t.priority, t.class) {
 		return false
 	}
-	return c.waitLocked(now) > maxWait
+	return c.waitOfLocked(now, t) > maxWait
+}
+
+// patienceShare is the part of the time until a call's limit that it may be
+// expected to wait. The rest absorbs the error of the estimate and calls of a
+// higher rank that arrive later.
+const patienceShare = 0.5
+
+// startsTooLateLocked reports whether a call with an objective would wait too
+// long in a standing queue to be in time. It is refused at once, while there is
+// time to try another server or to come back, rather than held for nothing.
+func (c *Controller) startsTooLateLocked(now time.Time, t *Ticket) bool {
+	if !t.hasObjective || !c.queue.standing(now) || c.mayRunLocked(now, t.priority, t.class) {
+		return false
+	}
+	patience := time.Duration(patienceShare * float64(t.limit(now).Sub(now)))
+	return c.waitOfLocked(now, t) > patience
 }
 
 // makeRoomLocked reports whether a call may run or be queued, and sheds another
 // call for it if need be. A caller's call displaces the oldest queued background
 // call, as does a background call in a standing queue. If there is none, a
-// caller's call preempts the running background calls. In a standing queue whose
-// oldest call is near its deadline, the newest call displaces the oldest, which
-// is the likeliest to miss its deadline. Otherwise the newest is refused at once,
-// while there is time to try another server.
+// caller's call preempts the running background calls. A call then displaces one
+// that is worth less, see displacedLocked. Otherwise the newest is refused at
+// once, while there is time to try another server.
 func (c *Controller) makeRoomLocked(now time.Time, t *Ticket) bool {
-	if c.queue.size < c.cfg.Queue || c.mayRunLocked(now, t.priority, t.class) {
+	if c.queue.size() < c.cfg.Queue || c.mayRunLocked(now, t.priority, t.class) {
 		return true
 	}
 	if victim := c.queue.oldest(Background); victim != nil {
@@ -196,17 +229,33 @@
 		return false
 	}
 	c.preemptLocked()
-	if c.queue.size < c.queueLimitLocked() {
+	if c.queue.size() < c.queueLimitLocked() {
 		return true
 	}
-	oldest := c.queue.oldest(Caller)
-	if !c.queue.standing(now) || !oldest.nearDeadline(now) {
+	victim := c.displacedLocked(now, t)
+	if victim == nil {
 		return false
 	}
-	c.shedLocked(now, oldest, ReasonOverloaded)
+	c.shedLocked(now, victim, ReasonOverloaded)
 	return true
 }
 
+// displacedLocked returns the waiting call that is shed for a new one when the
+// queue is full, or nil: the last in order if it is of a lower rank or has missed
+// its objective while the new one has not. In a standing queue whose oldest call
+// is near its deadline it is the oldest, which is the likeliest to miss it.
+func (c *Controller) displacedLocked(now time.Time, t *Ticket) *Ticket {
+	last := c.queue.last(now)
+	if last.rank > t.rank && t.inTime(now) || t.inTime(now) && !last.inTime(now) {
+		return last
+	}
+	oldest := c.queue.oldest(Caller)
+	if c.queue.standing(now) && oldest.rank >= t.rank && oldest.nearLimit(now) {
+		return oldest
+	}
+	return nil
+}
+
 // queueLimitLocked returns the maximum length of the queue for callers. It is
 // higher while background calls hold slots, since no caller's call may be shed
 // before background calls.
@@ -224,6 +273,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expireLocked(now)
+	c.shedHopelessLocked(now)
 	c.grantLocked(now)
 }
 
@@ -249,7 +299,7 @@
 	defer c.mu.Unlock()
 	switch t.state {
 	case stateWaiting:
-		c.queue.remove(t, now)
+		c.queue.remove(t)
 		t.state = stateDone
 		return false
 	case stateRunning:
@@ -270,19 +320,28 @@
 // expireLocked sheds the waiting calls that can no longer meet their deadline.
 func (c *Controller) expireLocked(now time.Time) {
 	for _, p := range shedOrder {
-		for {
-			t := c.queue.expired(p, now)
-			if t == nil {
-				break
-			}
+		for _, t := range c.queue.expired(p, now) {
 			c.shedLocked(now, t, ReasonOverloaded)
 		}
 	}
 }
 
+// hopelessFactor reduces the estimate of the wait before a queued call is shed
+// for it, since the estimate is rough and a shed call may not come back.
+const hopelessFactor = 0.7
+
+// shedHopelessLocked sheds the waiting calls with an objective whose turn comes
+// after their latest start, so that their callers learn it at once.
+func (c *Controller) shedHopelessLocked(now time.Time) {
+	interval := time.Duration(hopelessFactor * float64(c.slotIntervalLocked(now)))
+	for _, t := range c.queue.hopeless(now, interval) {
+		c.shedLocked(now, t, ReasonOverloaded)
+	}
+}
+
 // shedLocked removes a waiting call from the queue and refuses it.
 func (c *Controller) shedLocked(now time.Time, t *Ticket, reason Reason) {
-	c.queue.remove(t, now)
+	c.queue.remove(t)
 	t.state = stateDone
 	c.recordShedLocked(now, t)
 	t.ready <- c.refusalLocked(now, reason)
@@ -307,8 +366,24 @@
 
 // waitLocked estimates the time until the calls queued now are served.
 func (c *Controller) waitLocked(now time.Time) time.Duration {
-	perCall := c.demand.meanTime()
-	return perCall * time.Duration(c.queue.size) / time.Duration(c.openSlotsLocked(now))
+	return c.slotIntervalLocked(now) * time.Duration(c.queue.size())
+}
+
+// waitOfLocked estimates the wait of a new call: until a slot is free after those
+// that go before it. In a standing queue, calls of higher ranks that arrive later
+// go before it too, so the rate at which its own rank was served counts.
+func (c *Controller) waitOfLocked(now time.Time, t *Ticket) time.Duration {
+	wait := c.slotIntervalLocked(now) * time.Duration(c.queue.ahead(t, now)+1)
+	if !c.queue.standing(now) {
+		return wait
+	}
+	return max(wait, c.shares.interval(t.rank, now)*time.Duration(c.queue.waitingOfRank(t.rank)+1))
+}
+
+// slotIntervalLocked is the mean time between two slots that become free while
+// all are in use.
+func (c *Controller) slotIntervalLocked(now time.Time) time.Duration {
+	return c.demand.meanTime() / time.Duration(c.openSlotsLocked(now))
 }
 
 // Report returns the load of the node's own backend server.
@@ -319,7 +394,7 @@
 	return LoadReport{
 		Slots:    limit,
 		InUse:    c.totalInUse(),
-		Queued:   c.queue.size,
+		Queued:   c.queue.size(),
 		Reserved: c.reservedLocked(now, limit),
 		Wait:     c.waitLocked(now),
 		Draining: c.draining,
--- /dev/null
+++ b/internal/admission/order.go
@@ -0,0 +1,54 @@
+package admission
+
+import "time"
+
+// The order in which waiting calls get slots. In a short burst every call can
+// still be served in time, so the one whose limit comes first goes first. In a
+// standing queue some calls must miss their objective: those of a higher rank
+// then go first, and those that have missed it already take what is left.
+
+// objectiveMargin is the multiple of the expected service time that is kept free
+// before the objective, since about half of the calls take longer than the mean.
+const objectiveMargin = 1.25
+
+// limit returns the latest start at which the call is in time: for its objective
+// while that can be met, for its deadline otherwise.
+func (t *Ticket) limit(now time.Time) time.Time {
+	if t.inTime(now) {
+		return t.objectiveStart
+	}
+	return t.latestStart
+}
+
+// inTime reports whether the call can still meet its objective.
+func (t *Ticket) inTime(now time.Time) bool { return !t.objectiveStart.Before(now) }
+
+// nearLimit reports whether less time is left until the limit of a waiting call
+// than it has waited.
+func (t *Ticket) nearLimit(now time.Time) bool {
+	return now.Sub(t.arrived) > t.limit(now).Sub(now)
+}
+
+// sameTurn reports whether only the time decides between two calls.
+func (t *Ticket) sameTurn(o *Ticket, now time.Time) bool {
+	return t.priority == o.priority && t.class == o.class && t.rank == o.rank && t.inTime(now) == o.inTime(now)
+}
+
+// before reports whether a call is served before another one. Among calls of
+// equal urgency a long one goes first, since the slots reserved for short calls
+// are closed to it.
+func (t *Ticket) before(o *Ticket, now time.Time, standing bool) bool {
+	if t.priority != o.priority {
+		return t.priority < o.priority
+	}
+	if in, other := t.inTime(now), o.inTime(now); in != other {
+		return in
+	}
+	if standing && t.rank != o.rank {
+		return t.rank < o.rank
+	}
+	if t.class != o.class && t.rank == o.rank {
+		return t.class == Long
+	}
+	return t.limit(now).Before(o.limit(now))
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,142 +1,158 @@
 package admission
 
 import (
-	"container/heap"
+	"slices"
 	"time"
 )
 
 // standingAfter is how long the queue must have been non-empty to count as a
-// standing queue, which may be served newest first. A shorter burst is served in
-// order of latestStart.
+// standing queue: demand then exceeds capacity, and not every call can be served
+// in time. A shorter burst is served in order of the latest start.
 const standingAfter = 100 * time.Millisecond
 
-// queue holds the waiting tickets, with one subqueue for each priority and class.
+// queue holds the waiting tickets in order of arrival. It is short enough for
+// linear scans: see Policy.Queue.
 type queue struct {
-	subqueues [2][2]subqueue
-	size      int
-	since     time.Time // when the queue last became non-empty
+	tickets []*Ticket
+	since   time.Time // when the queue last became non-empty
 }
 
+func (q *queue) size() int { return len(q.tickets) }
+
 // standing reports whether the queue was non-empty for longer than
 // standingAfter.
 func (q *queue) standing(now time.Time) bool {
-	return q.size > 0 && now.Sub(q.since) > standingAfter
+	return len(q.tickets) > 0 && now.Sub(q.since) > standingAfter
 }
 
 // waiting returns the number of tickets of a priority.
 func (q *queue) waiting(p Priority) int {
-	return len(q.subqueues[p][Short].byLatestStart) + len(q.subqueues[p][Long].byLatestStart)
+	n := 0
+	for _, t := range q.tickets {
+		if t.priority == p {
+			n++
+		}
+	}
+	return n
+}
+
+// waitingOfRank returns the number of tickets of a rank.
+func (q *queue) waitingOfRank(rank int) int {
+	n := 0
+	for _, t := range q.tickets {
+		if t.rank == rank {
+			n++
+		}
+	}
+	return n
 }
 
 func (q *queue) push(t *Ticket, now time.Time) {
-	if q.size == 0 {
+	if len(q.tickets) == 0 {
 		q.since = now
 	}
-	q.size++
-	q.subqueues[t.priority][t.class].push(t)
+	q.tickets = append(q.tickets, t)
 }
 
-func (q *queue) remove(t *Ticket, _ time.Time) {
-	q.size--
-	q.subqueues[t.priority][t.class].remove(t)
+func (q *queue) remove(t *Ticket) {
+	if i := slices.Index(q.tickets, t); i >= 0 {
+		q.tickets = slices.Delete(q.tickets, i, i+1)
+	}
 }
 
-// next returns the next ticket of a subqueue, or nil. Calls are served in order
-// of latestStart, which keeps the waits of long calls even. In a standing
-// queue whose first call is near its deadline the newest goes first, since
-// serving the oldest would bring every call close to its deadline.
-func (q *queue) next(p Priority, c Class, now time.Time) *Ticket {
-	s := &q.subqueues[p][c]
-	first := s.first()
-	if first != nil && q.standing(now) && first.nearDeadline(now) {
-		return s.newest
+// next returns the next ticket among those that eligible accepts, or nil. When
+// not every call can be served in time, the newest of the rank goes first if the
+// one with the earliest limit is near it: serving that one first would bring
+// every call close to its limit.
+func (q *queue) next(now time.Time, eligible func(*Ticket) bool) *Ticket {
+	standing := q.standing(now)
+	var first, newest *Ticket
+	for _, t := range q.tickets {
+		if eligible(t) && (first == nil || t.before(first, now, standing)) {
+			first = t
+		}
+	}
+	if first == nil || !standing || !first.nearLimit(now) {
+		return first
+	}
+	for _, t := range q.tickets {
+		if eligible(t) && t.sameTurn(first, now) {
+			newest = t
+		}
 	}
-	return first
+	return newest
 }
 
 // oldest returns the ticket of a priority that arrived first, or nil.
 func (q *queue) oldest(p Priority) *Ticket {
-	short, long := q.subqueues[p][Short].oldest, q.subqueues[p][Long].oldest
-	if short == nil || (long != nil && long.arrived.Before(short.arrived)) {
-		return long
-	}
-	return short
-}
-
-// expired returns a ticket of a priority that can no longer meet its deadline,
-// or nil.
-func (q *queue) expired(p Priority, now time.Time) *Ticket {
-	for c := range q.subqueues[p] {
-		if t := q.subqueues[p][c].first(); t != nil && t.latestStart.Before(now) {
+	for _, t := range q.tickets {
+		if t.priority == p {
 			return t
 		}
 	}
 	return nil
 }
 
-// subqueue holds the waiting tickets of one priority and class, by latest start
-// and by arrival, so that every operation takes at most O(log n).
-type subqueue struct {
-	byLatestStart ticketHeap
-	oldest        *Ticket
-	newest        *Ticket
+// last returns the ticket that would be served last in a standing queue, or nil.
+func (q *queue) last(now time.Time) *Ticket {
+	var last *Ticket
+	for _, t := range q.tickets {
+		if last == nil || last.before(t, now, true) {
+			last = t
+		}
+	}
+	return last
 }
 
-func (s *subqueue) first() *Ticket {
-	if len(s.byLatestStart) == 0 {
-		return nil
+// expired returns the tickets of a priority that can no longer meet their
+// deadline.
+func (q *queue) expired(p Priority, now time.Time) []*Ticket {
+	var out []*Ticket
+	for _, t := range q.tickets {
+		if t.priority == p && t.latestStart.Before(now) {
+			out = append(out, t)
+		}
 	}
-	return s.byLatestStart[0]
+	return out
 }
 
-func (s *subqueue) push(t *Ticket) {
-	heap.Push(&s.byLatestStart, t)
-	t.older = s.newest
-	if s.newest == nil {
-		s.oldest = t
-	} else {
-		s.newest.newer = t
+// ahead returns how many waiting tickets go before a new one.
+func (q *queue) ahead(t *Ticket, now time.Time) int {
+	standing := q.standing(now)
+	n := 0
+	for _, other := range q.tickets {
+		if !t.before(other, now, standing) {
+			n++
+		}
 	}
-	s.newest = t
+	return n
 }
 
-func (s *subqueue) remove(t *Ticket) {
-	heap.Remove(&s.byLatestStart, t.index)
-	if t.older == nil {
-		s.oldest = t.newer
-	} else {
-		t.older.newer = t.newer
+// hopeless returns the tickets with a latency objective that would start after
+// their latest start if a slot became free at every interval.
+func (q *queue) hopeless(now time.Time, interval time.Duration) []*Ticket {
+	if interval <= 0 {
+		return nil
 	}
-	if t.newer == nil {
-		s.newest = t.older
-	} else {
-		t.newer.older = t.older
+	standing := q.standing(now)
+	ordered := slices.Clone(q.tickets)
+	slices.SortStableFunc(ordered, func(a, b *Ticket) int {
+		switch {
+		case a.before(b, now, standing):
+			return -1
+		case b.before(a, now, standing):
+			return 1
+		}
+		return 0
+	})
+	var out []*Ticket
+	start := now
+	for _, t := range ordered {
+		if t.hasObjective && t.latestStart.Before(start) {
+			out = append(out, t)
+			continue
+		}
+		start = start.Add(interval)
 	}
-	t.older, t.newer = nil, nil
-}
-
-// ticketHeap implements heap.Interface, ordered by latest start.
-type ticketHeap []*Ticket
-
-func (h ticketHeap) Len() int           { return len(h) }
-func (h ticketHeap) Less(i, j int) bool { return h[i].latestStart.Before(h[j].latestStart) }
-func (h ticketHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *ticketHeap) Push(x any) {
-	t := x.(*Ticket)
-	t.index = len(*h)
-	*h = append(*h, t)
-}
-
-// Pop implements heap.Interface.
-func (h *ticketHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return t
+	return out
 }
--- /dev/null
+++ b/internal/admission/replay_test.go
@@ -0,0 +1,190 @@
+package admission
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// replayKind is one kind of call in a replay of an overloaded server.
+type replayKind struct {
+	route      string
+	share      float64 // of all calls
+	rank       int
+	mean       time.Duration // service time, with a log-normal spread
+	spread     float64
+	objective  time.Duration
+	limit      time.Duration // until the caller gives up
+	worth      float64       // of an answer in time
+	worthLate  float64
+	asked      int
+	inTime     int
+	late       int
+	heldUnsent time.Duration // time in the queue of calls that were then refused
+}
+
+func (k *replayKind) served() float64 { return float64(k.inTime+k.late) / float64(k.asked) }
+
+func (k *replayKind) onTime() float64 { return float64(k.inTime) / float64(k.asked) }
+
+// replayEvent is a point in the virtual time of a replay.
+type replayEvent struct {
+	at  time.Duration
+	run func()
+}
+
+type replayEvents []replayEvent
+
+func (e replayEvents) Len() int           { return len(e) }
+func (e replayEvents) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e replayEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *replayEvents) Push(x any)        { *e = append(*e, x.(replayEvent)) }
+func (e *replayEvents) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// replay offers calls of several kinds to one server at random times.
+type replay struct {
+	controller *Controller
+	events     replayEvents
+	now        time.Duration
+	random     *rand.Rand
+	ranked     bool // calls carry rank and objective
+}
+
+const (
+	replaySlots  = 12
+	replayLength = 40 * time.Second
+)
+
+func (r *replay) at(d time.Duration, run func()) { heap.Push(&r.events, replayEvent{d, run}) }
+
+// offer schedules the calls of all kinds at a multiple of the server's capacity.
+func (r *replay) offer(kinds []*replayKind, demand float64) {
+	work := 0.0 // mean slot time of a call, in s
+	for _, k := range kinds {
+		work += k.share * k.mean.Seconds()
+	}
+	rate := demand * replaySlots / work
+	for at := 0.0; at < replayLength.Seconds(); at += r.random.ExpFloat64() / rate {
+		pick := r.random.Float64()
+		for _, k := range kinds {
+			if pick -= k.share; pick < 0 {
+				r.at(time.Duration(at*float64(time.Second)), func() { r.arrive(k) })
+				break
+			}
+		}
+	}
+	for at := time.Duration(0); at < replayLength+10*time.Second; at += 10 * ms {
+		r.at(at, func() { r.controller.Tick(after(r.now)) })
+	}
+}
+
+func (r *replay) arrive(k *replayKind) {
+	k.asked++
+	arrived := r.now
+	request := Request{Route: k.route, Deadline: after(arrived + k.limit)}
+	if r.ranked {
+		request.Rank, request.Objective = k.rank, after(arrived+k.objective)
+	}
+	ticket, d := r.controller.Acquire(after(r.now), request)
+	if d.Verdict == Refused {
+		return
+	}
+	r.await(k, ticket, arrived)
+}
+
+// await polls for the decision at each event, which costs nothing in virtual time.
+func (r *replay) await(k *replayKind, ticket *Ticket, arrived time.Duration) {
+	switch verdictOf(ticket) {
+	case Queued:
+		r.at(r.now+ms, func() { r.await(k, ticket, arrived) })
+	case Refused:
+		k.heldUnsent += r.now - arrived
+	case Admitted:
+		service := time.Duration(float64(k.mean) * math.Exp(k.spread*r.random.NormFloat64()-k.spread*k.spread/2))
+		r.at(r.now+service, func() {
+			ticket.Release(after(r.now), service, true)
+			switch took := r.now - arrived; {
+			case took <= k.objective:
+				k.inTime++
+			case took <= k.limit:
+				k.late++
+			}
+		})
+	}
+}
+
+// playReplay returns the share of the worth asked for that was earned.
+func playReplay(kinds []*replayKind, demand float64, ranked bool) float64 {
+	r := &replay{controller: NewController(Config{Slots: replaySlots, Queue: 64}), random: rand.New(rand.NewPCG(7, 11)), ranked: ranked}
+	r.offer(kinds, demand)
+	for len(r.events) > 0 {
+		e := heap.Pop(&r.events).(replayEvent)
+		r.now = e.at
+		e.run()
+	}
+	earned, owed := 0.0, 0.0
+	for _, k := range kinds {
+		owed += float64(k.asked) * k.worth
+		earned += float64(k.inTime)*k.worth + float64(k.late)*k.worthLate
+	}
+	return earned / owed
+}
+
+// urgentAndPatient is a mix of an urgent kind and one that can wait longer and
+// loses less by it.
+func urgentAndPatient() []*replayKind {
+	return []*replayKind{
+		{route: "urgent", share: 0.72, rank: 0, mean: 160 * ms, spread: 0.5, objective: 500 * ms, limit: 1500 * ms, worth: 1.5, worthLate: 0.3},
+		{route: "patient", share: 0.28, rank: 2, mean: 210 * ms, spread: 0.3, objective: 1200 * ms, limit: 2 * time.Second, worth: 0.8, worthLate: 0.6},
+	}
+}
+
+// attainable returns the share of the worth asked for that the capacity allows:
+// the kinds are served in the given order, each in time.
+func attainable(kinds []*replayKind, demand float64) float64 {
+	work, owed, earned := 0.0, 0.0, 0.0
+	for _, k := range kinds {
+		work += k.share * k.mean.Seconds()
+	}
+	left := work / demand
+	for _, k := range kinds {
+		part := min(1, left/(k.share*k.mean.Seconds()))
+		left -= part * k.share * k.mean.Seconds()
+		owed += k.share * k.worth
+		earned += part * k.share * k.worth
+	}
+	return earned / owed
+}
+
+// Guards against a queue ordered by deadline alone: at demand above capacity the
+// urgent calls of the higher rank are then answered late while calls that could
+// wait are answered in time, and refused calls are held until their deadline.
+func TestRankAndObjectiveDecideUnderOverload(t *testing.T) {
+	const (
+		attained = 0.9                    // least part of what the capacity allows
+		quarter  = 0.25                   // a kind served less often than this part of all calls is starved
+		held     = 250 * time.Millisecond // mean time in the queue of refused calls
+	)
+	for _, demand := range []float64{0.7, 1, 1.4, 3} {
+		baseline, kinds := urgentAndPatient(), urgentAndPatient()
+		before, now := playReplay(baseline, demand, false), playReplay(kinds, demand, true)
+		urgent, patient := kinds[0], kinds[1]
+		refused := urgent.asked + patient.asked - urgent.inTime - urgent.late - patient.inTime - patient.late
+		meanHeld := (urgent.heldUnsent + patient.heldUnsent) / time.Duration(max(refused, 1))
+		t.Logf("demand %.1f: worth %.3f of %.3f, by deadline alone %.3f; urgent in time %.2f, was %.2f; patient served %.2f, was %.2f; refused after %s",
+			demand, now, attainable(kinds, demand), before, urgent.onTime(), baseline[0].onTime(), patient.served(), baseline[1].served(), meanHeld)
+		assert.Check(t, now >= attained*attainable(kinds, demand), "demand %.1f", demand)
+		assert.Check(t, meanHeld <= held, "demand %.1f", demand)
+		all := 1 - float64(refused)/float64(urgent.asked+patient.asked)
+		assert.Check(t, patient.served() >= quarter*all && urgent.served() >= quarter*all, "demand %.1f", demand)
+	}
+}
--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -35,7 +35,8 @@
 		if t == nil {
 			break
 		}
-		c.queue.remove(t, now)
+		c.queue.remove(t)
+		c.shares.addServed(t.rank, now)
 		t.state = stateRunning
 		c.inUse[t.priority][t.class]++
 		if t.priority == Background {
@@ -48,27 +49,27 @@
 	}
 }
 
-// nextLocked returns the waiting call that gets the next slot, or nil.
+// nextLocked returns the waiting call that gets the next slot, or nil: one of a
+// rank that is served less than its least share, or else the first in order.
 func (c *Controller) nextLocked(now time.Time) *Ticket {
-	for p := Caller; p <= Background; p++ {
-		if t := c.nextOfLocked(now, p); t != nil {
-			return t
+	if c.queue.size() == 0 {
+		return nil
+	}
+	var may [2][2]bool
+	for _, p := range []Priority{Caller, Background} {
+		for _, class := range []Class{Short, Long} {
+			may[p][class] = c.mayRunLocked(now, p, class)
 		}
 	}
-	return nil
-}
-
-// nextOfLocked returns the next call of a priority, or nil. A long call goes
-// first if it may run: the reserved slots are closed to it and left to short
-// calls, so neither class can starve.
-func (c *Controller) nextOfLocked(now time.Time, p Priority) *Ticket {
-	for _, class := range []Class{Long, Short} {
-		t := c.queue.next(p, class, now)
-		if t != nil && c.mayRunLocked(now, p, class) {
-			return t
+	eligible := func(t *Ticket) bool { return may[t.priority][t.class] }
+	if c.queue.standing(now) {
+		starved := c.shares.starved()
+		first := c.queue.next(now, func(t *Ticket) bool { return eligible(t) && t.priority == Caller && starved[t.rank] })
+		if first != nil {
+			return first
 		}
 	}
-	return nil
+	return c.queue.next(now, eligible)
 }
 
 // mayRunLocked reports whether a slot is free for a call of a priority and class.
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -28,6 +28,11 @@
 	Route    string
 	Priority Priority
 	Deadline time.Time // zero for maxQueueTime from now
+	// Rank orders callers' calls of one service; 0 is the most important one.
+	Rank int
+	// Objective is when the answer must arrive to be in time; zero for none. An
+	// answer after it still has some value until the deadline.
+	Objective time.Time
 	// MaxWait is the longest expected wait for a slot that is accepted, since the
 	// call can be sent to another server; 0 sets no bound.
 	MaxWait time.Duration
@@ -90,26 +95,20 @@
 
 // Ticket is the slot or the queue entry of one call.
 type Ticket struct {
-	controller  *Controller
-	route       string
-	priority    Priority
-	class       Class
-	arrived     time.Time
-	latestStart time.Time     // latest start at which the deadline can be met
-	ready       chan Decision // delivers the one decision; capacity 1
+	controller     *Controller
+	route          string
+	priority       Priority
+	class          Class
+	rank           int
+	arrived        time.Time
+	latestStart    time.Time // latest start at which the deadline can be met
+	objectiveStart time.Time // latest start at which the objective can be met; latestStart without an objective
+	hasObjective   bool
+	ready          chan Decision // delivers the one decision; capacity 1
 
 	preempted chan struct{} // closed when the call should be cancelled
 
 	state ticketState // guarded by controller.mu
-	index int         // index in the heap of its subqueue; guarded by controller.mu
-	older *Ticket     // neighbours in order of arrival; guarded by controller.mu
-	newer *Ticket     // guarded by controller.mu
-}
-
-// nearDeadline reports whether less time is left until the latest start of a
-// waiting call than it has waited.
-func (t *Ticket) nearDeadline(now time.Time) bool {
-	return now.Sub(t.arrived) > t.latestStart.Sub(now)
 }
 
 // Ready returns a channel that delivers the ticket's one decision, also for a
--- a/internal/profile/document.go
+++ b/internal/profile/document.go
@@ -39,7 +39,7 @@
 	Split            []Part         `json:"split,omitempty" doc:"services that share the calls by weight; empty sends all to service"`
 	MaxAttempts      int            `json:"maxAttempts,omitempty" min:"0" max:"10" doc:"maximum number of backend servers that one call is sent to; 0 uses the policy's retries"`
 	LatencyObjective jsonc.Duration `json:"latencyObjective,omitempty" min:"0s" max:"1h" doc:"time within which a call should be answered; limits its wait for a slot while there are other backend servers; 0s sets none"`
-	Rank             int            `json:"rank,omitempty" min:"0" max:"100" doc:"priority of the route in the platform's configuration; has no effect"`
+	Rank             int            `json:"rank,omitempty" min:"0" max:"100" doc:"importance of the route among those of its service; 0 is the most important"`
 }
 
 // Part is one of several services that share the calls of a route.
--- a/internal/proxy/headervalues.go
+++ b/internal/proxy/headervalues.go
@@ -115,6 +115,19 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// ObjectiveOf returns the time left to the latency objective of a call, and false
+// when it has none.
+func ObjectiveOf(h http.Header) (time.Duration, bool) { return RemainingTimeOf(h, HeaderObjectiveMs) }
+
+// RankOf returns the rank of a call, 0 when the header is missing or invalid.
+func RankOf(h http.Header) int {
+	rank, err := strconv.ParseUint(h.Get(HeaderRank), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return int(rank)
+}
+
 // maxHeaderTime is the longest remaining time that a header may state; a longer
 // retry-after is reduced to it.
 const maxHeaderTime = time.Hour
--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -58,9 +58,14 @@
 	if c.r.Header.Get(proxy.HeaderPriority) == proxy.PriorityBackground {
 		priority = admission.Background
 	}
-	ticket, d := c.proxy.cfg.Admission.Acquire(now, admission.Request{
-		Route: c.r.Header.Get(proxy.HeaderRoute), Priority: priority, Deadline: c.deadline, MaxWait: proxy.MaxSlotWaitOf(c.r.Header),
-	})
+	request := admission.Request{
+		Route: c.r.Header.Get(proxy.HeaderRoute), Priority: priority, Rank: proxy.RankOf(c.r.Header),
+		Deadline: c.deadline, MaxWait: proxy.MaxSlotWaitOf(c.r.Header),
+	}
+	if left, ok := proxy.ObjectiveOf(c.r.Header); ok {
+		request.Objective = c.started.Add(left)
+	}
+	ticket, d := c.proxy.cfg.Admission.Acquire(now, request)
 	if d.Verdict == admission.Queued {
 		d = c.awaitTicket(ticket)
 	}
@@ -174,7 +179,7 @@
 	if key, ok := h[proxy.HeaderInternalKey]; ok {
 		h[proxy.HeaderIdempotencyKey] = key
 	}
-	for _, name := range []string{proxy.HeaderInternalKey, proxy.HeaderRoute, proxy.HeaderService, proxy.HeaderMaxSlotWaitMs, proxy.HeaderAtMostOnce, proxy.HeaderClaim, proxy.HeaderExchangeID, proxy.HeaderRepeatable, proxy.HeaderQuarantine} {
+	for _, name := range []string{proxy.HeaderInternalKey, proxy.HeaderRoute, proxy.HeaderService, proxy.HeaderRank, proxy.HeaderObjectiveMs, proxy.HeaderMaxSlotWaitMs, proxy.HeaderAtMostOnce, proxy.HeaderClaim, proxy.HeaderExchangeID, proxy.HeaderRepeatable, proxy.HeaderQuarantine} {
 		delete(h, name)
 	}
 	c.setDialectHeaders(h, left)
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -123,12 +123,11 @@
 // to another server. It is 0, which sets no limit, when there is no other, the
 // route has no latency objective or enough servers have refused the call.
 func (c *call) maxSlotWait(choice balance.Choice) time.Duration {
-	objective := time.Duration(c.route.LatencyObjective)
+	left, ok := c.objectiveLeft()
 	others := len(c.service.Endpoints) - len(c.exclude) - 1
-	if objective == 0 || others <= 0 || c.refusals >= refusalsBeforeUnlimitedWait {
+	if !ok || others <= 0 || c.refusals >= refusalsBeforeUnlimitedWait {
 		return 0
 	}
-	left := objective - time.Since(c.started)
 	return max(time.Duration(float64(left)*slotWaitFraction), minSlotWait)
 }
 
@@ -259,6 +258,9 @@
 	if limit := c.maxSlotWait(choice); limit > 0 {
 		header[proxy.HeaderMaxSlotWaitMs] = []string{strconv.FormatInt(limit.Milliseconds(), 10)}
 	}
+	if objective, ok := c.objectiveLeft(); ok {
+		header[proxy.HeaderObjectiveMs] = []string{strconv.FormatInt(objective.Milliseconds(), 10)}
+	}
 	header[proxy.HeaderDeadlineMs] = []string{proxy.FormatRemainingTime(left)}
 	s := proxy.Transmission{
 		Address: choice.Endpoint.InboundAddress, Request: c.r, Header: header, Body: c.body,
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -57,7 +57,7 @@
 // share.
 func (c *call) baseHeader(hops int) http.Header {
 	h := proxy.RequestHeader(c.r)
-	for _, name := range []string{proxy.HeaderInternalKey, proxy.HeaderMaxSlotWaitMs, proxy.HeaderAtMostOnce, proxy.HeaderClaim, proxy.HeaderExchangeID, proxy.HeaderRepeatable, proxy.HeaderQuarantine} {
+	for _, name := range []string{proxy.HeaderInternalKey, proxy.HeaderMaxSlotWaitMs, proxy.HeaderObjectiveMs, proxy.HeaderAtMostOnce, proxy.HeaderClaim, proxy.HeaderExchangeID, proxy.HeaderRepeatable, proxy.HeaderQuarantine} {
 		delete(h, name)
 	}
 	d := &c.proxy.cfg.Dialect
@@ -70,6 +70,7 @@
 	h[proxy.HeaderRoute] = []string{c.route.ID}
 	h[proxy.HeaderService] = []string{c.service.Name}
 	h[proxy.HeaderPriority] = []string{c.priority()}
+	h[proxy.HeaderRank] = []string{strconv.Itoa(c.route.Rank)}
 	if key, ok := h[proxy.HeaderIdempotencyKey]; ok {
 		delete(h, proxy.HeaderIdempotencyKey)
 		h[proxy.HeaderInternalKey] = key
@@ -142,6 +143,13 @@
 
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
+// objectiveLeft returns the time left to the route's latency objective, at least
+// 0, and false when the route has none.
+func (c *call) objectiveLeft() (time.Duration, bool) {
+	objective := time.Duration(c.route.LatencyObjective)
+	return max(objective-time.Since(c.started), 0), objective > 0
+}
+
 // respond answers the caller.
 func (c *call) respond(t *attemptResult) {
 	t = c.correctOutcome(t)
