Run pipelined calls at the same time, and balance by objective and work

Its callers pipeline: net/http's server begins a request after the answer to the one before, so calls waited on their connection. With the wait went the disconnect of the caller, which net/http's server no longer notices then.

Change: proxy.pipeline reads on during a call and starts the handlers of further requests that may run more than once; answers keep their order (docs/decisions/012). A drain closes a connection only behind started calls.

Second cause, seen in the same trace: servers of one service differ in speed by up to three times, and latencies of long and short kinds were mixed.

--- a/bench/poison_node.go
+++ b/bench/poison_node.go
@@ -137,7 +137,7 @@
 	}
 	c.tries++
 	c.triedServers = append(c.triedServers, choice.ID)
-	n.stats.Begin(choice.ID, now)
+	n.stats.Begin(choice.ID, now, 1)
 	to := n.run.byID[choice.ID]
 	n.run.sim.after(n.delay(to), func() {
 		to.receive(c, entries, func(a poisonAnswer) {
--- a/bench/state.go
+++ b/bench/state.go
@@ -45,7 +45,7 @@
 		now := time.Now()
 		for i := range n {
 			id := fmt.Sprintf("node-%d", i)
-			s.Begin(id, now)
+			s.Begin(id, now, 1)
 			s.End(id, now.Add(time.Millisecond), balance.Result{Latency: time.Millisecond})
 		}
 		return s
--- a/bench/tail.go
+++ b/bench/tail.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		panic("bench: no server picked although none fails: " + err.Error())
 	}
-	b.stats.Begin(c.Endpoint.ID, now)
+	b.stats.Begin(c.Endpoint.ID, now, 1)
 	if len(exclude) == 0 {
 		b.budgets.AddCall(b.service.Name, tailBudget, now)
 	}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -107,6 +107,10 @@
 	Exclude []string
 	// Bytes is the estimated size of the request and the answer, 0 when unknown.
 	Bytes int64
+	// Work is as in Result.
+	Work float64
+	// Objective is the time left in which the answer should arrive; 0 sets none.
+	Objective time.Duration
 }
 
 // Choice is the backend server that an attempt goes to.
@@ -115,6 +119,9 @@
 	Tier     Tier
 	// Expected is the expected completion time; 0 for a probe.
 	Expected time.Duration
+	// Slowness is the latency of the server in relation to the mean of the
+	// service's servers; 0 for a probe.
+	Slowness float64
 	// Probe marks the one call that decides whether an ejected server is
 	// readmitted.
 	Probe bool
@@ -150,6 +157,9 @@
 	RetryAfter time.Duration
 	// Report is the load report in the answer, if any.
 	Report *LoadReport
+	// Work is the time that the call takes in relation to the mean call of the node
+	// on the same server; 0 counts as 1. Begin must have got the same.
+	Work float64
 	// Unreachable means that the server's node accepted no connection or stopped
 	// responding on one. It is set in addition to Failed.
 	Unreachable bool
--- /dev/null
+++ b/internal/balance/objective_test.go
@@ -0,0 +1,72 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// uneven returns a balancer and a service with a server of half the speed, s0,
+// and two of full speed, on which calls of work 1 take 160 ms.
+func uneven(places ...string) (*Balancer, Request) {
+	b := newTestBalancer()
+	b.stats.cfg.ExactReports = true
+	r := Request{Service: service(places...)}
+	b.candidates(start, r.Service)
+	for range 30 {
+		answer(b, "s0", warm, Result{Latency: 320 * time.Millisecond, Report: &LoadReport{InUse: 6, Slots: 18}})
+		answer(b, "s1", warm, Result{Latency: 160 * time.Millisecond, Report: &LoadReport{InUse: 6, Slots: 18}})
+		answer(b, "s2", warm, Result{Latency: 160 * time.Millisecond, Report: &LoadReport{InUse: 6, Slots: 18}})
+	}
+	return b, r
+}
+
+// Guards against urgent calls that go to a slow server and are late, while calls
+// that would be in time there take the fast ones.
+func TestSlowServersGetThePatientCalls(t *testing.T) {
+	b, r := uneven("west/w1", "west/w1", "west/w1")
+	urgent, patient := r, r
+	urgent.Objective, patient.Objective = 500*time.Millisecond, 1200*time.Millisecond
+	assert.Equal(t, shares(t, b, warm, urgent)["s0"], 0.0)
+	assert.Assert(t, shares(t, b, warm, patient)["s0"] > 0.6)
+	full := &LoadReport{InUse: 17, Slots: 18}
+	answer(b, "s0", warm, Result{Latency: 320 * time.Millisecond, Report: full})
+	assert.Equal(t, shares(t, b, warm, patient)["s0"], 0.0, "a slow server is not filled to the last slot")
+}
+
+// Guards against calls that leave their failure domain although they are in time
+// there, or stay although they are late there and in time in another one.
+func TestObjectiveDecidesTheFailureDomain(t *testing.T) {
+	b, r := uneven("west/w1", "west/w2", "west/w2")
+	urgent, patient, none := r, r, r
+	urgent.Objective, patient.Objective = 500*time.Millisecond, 1200*time.Millisecond
+	assert.Equal(t, shares(t, b, warm, urgent)["s0"], 0.0)
+	assert.Equal(t, shares(t, b, warm, patient)["s0"], 1.0)
+	none.Objective = 100 * time.Millisecond // in time nowhere
+	assert.DeepEqual(t, shares(t, b, warm, none), shares(t, b, warm, r))
+}
+
+// Guards against a server that looks slow because it got the long calls.
+func TestLongCallsDoNotMakeAServerSlow(t *testing.T) {
+	b := newTestBalancer()
+	r := Request{Service: service("west/w1", "west/w1")}
+	b.candidates(start, r.Service)
+	for range 20 {
+		answer(b, "s0", warm, Result{Latency: 500 * time.Millisecond, Work: 5})
+		answer(b, "s1", warm, Result{Latency: 101 * time.Millisecond, Work: 1})
+	}
+	assert.Equal(t, shares(t, b, warm, r)["s0"], 1.0)
+}
+
+// Guards against a mean time of a route that follows the speed of the servers
+// that its calls went to.
+func TestWorkIsIndependentOfTheServers(t *testing.T) {
+	times := NewCallTimes()
+	assert.Equal(t, times.Work("a"), 1.0)
+	for range 200 {
+		times.Observe("a", 400*time.Millisecond, 2, warm) // on servers of half the speed
+		times.Observe("b", 200*time.Millisecond, 1, warm)
+	}
+	assert.Assert(t, times.Work("a") > 0.99 && times.Work("a") < 1.01, "%v", times.Work("a"))
+}
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -51,7 +51,7 @@
 	if len(all) == 0 {
 		return Choice{}, ErrCrossRegionLimit
 	}
-	choice := b.choose(now, withoutAvoided(now, all), r.Bytes)
+	choice := b.choose(now, withoutAvoided(now, all), r)
 	if choice.Tier == TierCrossRegion {
 		b.crossRegion.track(now, limit)
 	}
@@ -149,29 +149,38 @@
 
 // choose picks the better of two random servers of the nearest tier, and one of
 // a farther tier if that is expected to be much faster.
-func (b *Balancer) choose(now time.Time, all []*candidate, bytes int64) Choice {
+func (b *Balancer) choose(now time.Time, all []*candidate, r Request) Choice {
 	fallback := meanLatency(all)
-	var best Choice
+	var best option
 	for t := TierDomain; t < tierCount; t++ {
 		tier := inTier(all, t)
 		if len(tier) == 0 {
 			continue
 		}
-		c := b.bestOfTwo(now, tier, fallback)
-		if best.Endpoint == nil || b.spills(best, c, bytes) {
-			best = c
+		o := b.bestOfTwo(now, tier, r, fallback)
+		if best.Endpoint == nil || b.spills(best, o, r.Bytes) {
+			best = o
 		}
 	}
-	return best
+	return best.Choice
 }
 
-// spills reports whether a choice of a farther tier is preferred to a nearer
+// spills reports whether an option of a farther tier is preferred to a nearer
 // one. The round trip is added although the measured latency includes it: this
 // hysteresis keeps calls from alternating between tiers over small differences.
-func (b *Balancer) spills(near, far Choice, bytes int64) bool {
+// While the nearer one is in time, nothing is gained; when only the farther one
+// is, any gain justifies it.
+func (b *Balancer) spills(near, far option, bytes int64) bool {
+	if near.inTime {
+		return false
+	}
+	ratio := b.stats.cfg.SpillRatio
+	if far.inTime {
+		ratio = 1
+	}
 	between := b.locality.rtt(far.Tier) - b.locality.rtt(near.Tier)
 	between += b.locality.cost(far.Tier, bytes) - b.locality.cost(near.Tier, bytes)
-	return float64(near.Expected) > b.stats.cfg.SpillRatio*float64(far.Expected)+float64(between)
+	return float64(near.Expected) > ratio*float64(far.Expected)+float64(between)
 }
 
 func inTier(all []*candidate, t Tier) []*candidate {
@@ -202,22 +211,62 @@
 	return sum / time.Duration(n)
 }
 
-func (b *Balancer) bestOfTwo(now time.Time, tier []*candidate, fallback time.Duration) Choice {
+// option is a server that was evaluated for a call.
+type option struct {
+	Choice
+	inTime    bool // the answer is expected within the objective
+	occupancy float64
+}
+
+func (b *Balancer) bestOfTwo(now time.Time, tier []*candidate, r Request, fallback time.Duration) option {
 	first := b.weightedIndex(now, tier, -1)
-	best := b.evaluate(now, tier[first], fallback)
+	best := b.evaluate(now, tier[first], r, fallback)
 	if len(tier) == 1 {
 		return best
 	}
-	second := b.evaluate(now, tier[b.weightedIndex(now, tier, first)], fallback)
-	if second.Expected < best.Expected {
+	second := b.evaluate(now, tier[b.weightedIndex(now, tier, first)], r, fallback)
+	if second.preferredTo(best) {
 		return second
 	}
 	return best
 }
 
-func (b *Balancer) evaluate(now time.Time, c *candidate, fallback time.Duration) Choice {
-	expected := c.server.expected(b.stats.cfg, now, fallback)
-	return Choice{Endpoint: c.endpoint, Tier: c.tier, Expected: expected}
+const (
+	// objectiveHeadroom is the multiple of the expected time that must be left to
+	// the objective for a call to count as in time: nearly all answers arrive
+	// within it, also when the server fills up meanwhile.
+	objectiveHeadroom = 2.5
+	// maxSlowOccupancy is the occupancy up to which a slower server is preferred
+	// for a call that is in time on it.
+	maxSlowOccupancy = 0.8
+)
+
+// preferredTo reports whether an option is better than another one of its tier. A
+// call that is in time on both goes to the slower server, which leaves the faster
+// one to calls that need it.
+func (o option) preferredTo(other option) bool {
+	if o.inTime != other.inTime {
+		return o.inTime
+	}
+	if o.inTime && o.mayFill() && other.mayFill() {
+		return o.Slowness > other.Slowness
+	}
+	return o.Expected < other.Expected
+}
+
+// mayFill reports whether the server has room beside its present load.
+func (o option) mayFill() bool { return o.occupancy > 0 && o.occupancy <= maxSlowOccupancy }
+
+func (b *Balancer) evaluate(now time.Time, c *candidate, r Request, fallback time.Duration) option {
+	e := c.server.estimate(b.stats.cfg, now, fallback)
+	work := workOf(r.Work)
+	o := option{occupancy: e.occupancy, Choice: Choice{
+		Endpoint: c.endpoint, Tier: c.tier,
+		Expected: time.Duration(float64(e.cost) * work),
+		Slowness: float64(e.latency) / float64(fallback),
+	}}
+	o.inTime = r.Objective > 0 && objectiveHeadroom*float64(e.answer)*work <= float64(r.Objective)
+	return o
 }
 
 // weightedIndex picks a random index in proportion to the cold-start weights,
--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -45,7 +45,7 @@
 
 // answer records a finished call.
 func answer(b *Balancer, id string, now time.Time, r Result) {
-	b.stats.Begin(id, now.Add(-r.Latency))
+	b.stats.Begin(id, now.Add(-r.Latency), r.Work)
 	b.stats.End(id, now, r)
 }
 
@@ -95,13 +95,13 @@
 			history: func(b *Balancer) {
 				answer(b, "s0", warm, fast)
 				answer(b, "s1", warm, fast)
-				b.stats.Begin("s0", warm)
-				b.stats.Begin("s1", warm.Add(50*ms))
-				b.stats.Begin("s1", warm.Add(50*ms))
+				b.stats.Begin("s0", warm, 1)
+				b.stats.Begin("s1", warm.Add(50*ms), 1)
+				b.stats.Begin("s1", warm.Add(50*ms), 1)
 			}, after: 50 * ms},
 		{name: "a server with more calls of this node in flight gets none", places: []string{"west/w1", "west/w1"}, none: "s0",
 			history: func(b *Balancer) {
-				b.stats.Begin("s0", warm)
+				b.stats.Begin("s0", warm, 1)
 			}},
 		{name: "a server that becomes slow is avoided after four answers", places: []string{"west/w1", "west/w2"}, all: "s1",
 			history: func(b *Balancer) {
@@ -317,7 +317,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			c, err := b.Pick(now, r)
 			assert.NilError(t, err)
-			b.stats.Begin(c.Endpoint.ID, now)
+			b.stats.Begin(c.Endpoint.ID, now, 1)
 			failed := rapid.IntRange(0, 9).Draw(t, "result") < 8
 			b.stats.End(c.Endpoint.ID, now, Result{Latency: time.Millisecond, Failed: failed})
 			ejected := b.Ejected(now, r.Service)
@@ -337,7 +337,7 @@
 				now := start.Add(time.Duration(i) * time.Millisecond)
 				c, err := b.Pick(now, r)
 				assert.Check(t, err)
-				b.stats.Begin(c.Endpoint.ID, now)
+				b.stats.Begin(c.Endpoint.ID, now, 1)
 				b.SpendCrossRegion(now, 1)
 				b.stats.End(c.Endpoint.ID, now, Result{Latency: time.Millisecond, Failed: g == 0})
 			}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -13,11 +13,14 @@
 	lastUsed    time.Time // last use, for Prune
 	rampStart   time.Time // start of the cold-start ramp
 
-	inFlight int
+	// All times of calls are divided by their work, so that a server is not taken
+	// for slow because it got the long calls.
+	inFlight       int
+	inFlightWeight float64 // sum over the calls in flight of 1 / work
 	// startSum is the sum of the start times of the calls in flight, in ns after
-	// rampStart. It yields their mean age, which detects a server that has stopped
-	// answering before any call to it ends.
-	startSum int64
+	// rampStart, divided by their work. It yields their age, which detects a server
+	// that has stopped answering before any call to it ends.
+	startSum float64
 
 	// latencySum / answers is the mean latency; both decay exponentially.
 	// Cancelled attempts add their time but no answer, so that hedges that cancel
@@ -61,17 +64,27 @@
 	return server{incarnation: incarnation, rampStart: now, lastUsed: now}
 }
 
-func (s *server) begin(now time.Time) {
+func (s *server) begin(now time.Time, work float64) {
 	s.lastUsed = now
 	s.inFlight++
 	s.sentSinceReport++
-	s.startSum += now.Sub(s.rampStart).Nanoseconds()
+	s.inFlightWeight += 1 / work
+	s.startSum += float64(now.Sub(s.rampStart)) / work
+}
+
+// workOf returns the work of a call, 1 when it is unknown.
+func workOf(work float64) float64 {
+	if work <= 0 {
+		return 1
+	}
+	return work
 }
 
 func (s *server) end(cfg Config, now time.Time, r Result) {
 	s.lastUsed = now
-	s.endInFlight(now, r.Latency)
-	s.observeLatency(cfg, now, r)
+	work := workOf(r.Work)
+	s.endInFlight(now, r.Latency, work)
+	s.observeLatency(cfg, now, r, time.Duration(float64(r.Latency)/work))
 	s.updateAvoidance(cfg, now, r)
 	if r.Report != nil {
 		s.report = *r.Report
@@ -113,33 +126,34 @@
 	return s.badShare * decay(now.Sub(s.badAt), badDecay)
 }
 
-func (s *server) endInFlight(now time.Time, latency time.Duration) {
+func (s *server) endInFlight(now time.Time, latency time.Duration, work float64) {
 	if s.inFlight == 0 {
 		return
 	}
 	s.inFlight--
-	s.startSum -= (now.Sub(s.rampStart) - latency).Nanoseconds()
+	s.inFlightWeight -= 1 / work
+	s.startSum -= float64(now.Sub(s.rampStart)-latency) / work
 	if s.inFlight == 0 {
-		s.startSum = 0
+		s.inFlightWeight, s.startSum = 0, 0
 	}
 }
 
 // observeLatency adds a latency sample. A refusal is not a sample, since a
 // server that refuses fast would attract every call. For the same reason a
 // failed call counts only when it took at least the mean.
-func (s *server) observeLatency(cfg Config, now time.Time, r Result) {
-	if r.NotRun || r.Latency <= 0 {
+func (s *server) observeLatency(cfg Config, now time.Time, r Result, latency time.Duration) {
+	if r.NotRun || latency <= 0 {
 		return
 	}
 	mean := s.mean()
-	if r.Failed && r.Latency < mean {
+	if r.Failed && latency < mean {
 		return
 	}
 	keep := decay(now.Sub(s.lastSampleAt), cfg.LatencyDecay)
-	if r.Latency > slowFactor*mean {
+	if latency > slowFactor*mean {
 		keep *= slowKeep
 	}
-	s.latencySum = s.latencySum*keep + float64(r.Latency)
+	s.latencySum = s.latencySum*keep + float64(latency)
 	s.answers *= keep
 	if !r.Canceled {
 		s.answers++
@@ -281,7 +295,7 @@
 
 // restartRamp starts the cold-start ramp again, as after a restart of the server.
 func (s *server) restartRamp(now time.Time) {
-	s.startSum -= int64(s.inFlight) * now.Sub(s.rampStart).Nanoseconds()
+	s.startSum -= s.inFlightWeight * float64(now.Sub(s.rampStart))
 	s.rampStart = now
 }
 
@@ -305,14 +319,28 @@
 	return cfg.ColdWeight + (1-cfg.ColdWeight)*progress
 }
 
-// expected is the expected completion time of one more call. fallback is the
-// latency assumed while samples are missing or old.
-func (s *server) expected(cfg Config, now time.Time, fallback time.Duration) time.Duration {
+// estimate is what is expected of one more call to a server, for a call of work 1.
+type estimate struct {
+	latency   time.Duration // without a wait for a slot
+	answer    time.Duration // with the wait for a slot
+	cost      time.Duration // for the choice: also avoids servers that fill up or fail calls
+	occupancy float64       // 0 when it is not known
+}
+
+// estimate returns what is expected of one more call. fallback is the latency
+// assumed while samples are missing or old.
+func (s *server) estimate(cfg Config, now time.Time, fallback time.Duration) estimate {
+	latency := s.latency(cfg, now, fallback)
 	if cfg.ExactReports && s.report.Slots > 0 {
-		return time.Duration(s.latency(cfg, now, fallback) * occupancyFactor(s.occupancy(cfg, now)) * (1 + badPenalty*s.recentBadShare(now)))
+		occupancy := s.occupancy(cfg, now)
+		return estimate{
+			latency: time.Duration(latency), occupancy: occupancy,
+			answer: time.Duration(latency * queueFactor(occupancy)),
+			cost:   time.Duration(latency * occupancyFactor(occupancy) * (1 + badPenalty*s.recentBadShare(now))),
+		}
 	}
-	load := float64(s.inFlight + 1)
-	return time.Duration(s.latency(cfg, now, fallback) * load * s.reportFactor(cfg, now))
+	cost := time.Duration(latency * float64(s.inFlight+1) * s.reportFactor(cfg, now))
+	return estimate{latency: time.Duration(latency), answer: cost, cost: cost}
 }
 
 // occupancy is the number of running and queued calls per slot of the server,
@@ -333,6 +361,10 @@
 	return 2 + queueSlope*(occupancy-1)
 }
 
+// queueFactor is the factor by which a call takes longer because it waits for a
+// slot.
+func queueFactor(occupancy float64) float64 { return 1 + max(occupancy-1, 0) }
+
 // queueSlope is the increase of occupancyFactor for each further round of calls
 // queued ahead. It is above 1 because many nodes see the same report and send
 // calls at the same time.
@@ -349,8 +381,7 @@
 
 // inFlightAge is the sum of the ages of the calls in flight, in ns.
 func (s *server) inFlightAge(now time.Time) float64 {
-	sum := int64(s.inFlight)*now.Sub(s.rampStart).Nanoseconds() - s.startSum
-	return float64(max(sum, 0))
+	return max(s.inFlightWeight*float64(now.Sub(s.rampStart))-s.startSum, 0)
 }
 
 // reportFactor is the factor from the load report, from 1 to 2. The report has
--- a/internal/balance/stats.go
+++ b/internal/balance/stats.go
@@ -75,13 +75,13 @@
 	return &Stats{cfg: cfg.withDefaults(), servers: shard.NewMap[server](shard.DefaultCount)}
 }
 
-// Begin records that a call was sent to a server.
-func (s *Stats) Begin(id string, now time.Time) {
+// Begin records that a call was sent to a server. work is as in Result.
+func (s *Stats) Begin(id string, now time.Time, work float64) {
 	s.servers.Update(id, func(v server, ok bool) (server, bool) {
 		if !ok {
 			v = newServer(0, now)
 		}
-		v.begin(now)
+		v.begin(now, workOf(work))
 		return v, true
 	})
 }
@@ -114,7 +114,7 @@
 			v = newServer(incarnation, now)
 		case current.incarnation < incarnation && current.incarnation > 0:
 			v = newServer(incarnation, now)
-			v.inFlight = current.inFlight // their End is still outstanding
+			v.inFlight, v.inFlightWeight = current.inFlight, current.inFlightWeight // their End is still outstanding
 		case current.incarnation < incarnation:
 			v.incarnation = incarnation
 		}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -25,6 +25,7 @@
 	budgets           *retry.Budgets
 	latencies         *retry.Latencies
 	callSizes         *balance.CallSizes
+	callTimes         *balance.CallTimes
 	quarantine        *quarantine.List
 	quarantineUpdates *quarantineUpdates
 	admission         *admission.Controller
@@ -43,7 +44,7 @@
 		c.budgets = retry.NewFixedShareBudgets()
 	}
 	c.latencies = retry.NewLatencies()
-	c.callSizes = balance.NewCallSizes()
+	c.callSizes, c.callTimes = balance.NewCallSizes(), balance.NewCallTimes()
 	c.quarantine = quarantine.NewList(quarantine.Config{})
 	c.quarantineUpdates = newQuarantineUpdates()
 	coldStart := admission.DefaultColdStart
@@ -73,7 +74,7 @@
 	n.outbound = outbound.New(outbound.Config{
 		HopConfig: hop,
 		Snapshots: n.snapshots, Client: c.nodeClient, Balancer: balance.NewBalancer(c.stats, n.locality(self), rand.Uint64), Stats: c.stats,
-		Budgets: c.budgets, Latencies: c.latencies, CallSizes: c.callSizes,
+		Budgets: c.budgets, Latencies: c.latencies, CallSizes: c.callSizes, CallTimes: c.callTimes,
 	})
 	n.inbound = inbound.New(inbound.Config{
 		HopConfig: hop,
@@ -181,6 +182,7 @@
 	n.callPath.budgets.Prune(now, unusedRetention)
 	n.callPath.latencies.Prune(now, unusedRetention)
 	n.callPath.callSizes.Prune(now, unusedRetention)
+	n.callPath.callTimes.Prune(now, unusedRetention)
 }
 
 // updateAdmissionPolicy sets the admission limits from the policy of the node's
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -58,6 +58,8 @@
 	srv := proxy.NewServer(h)
 	if name == callsServer {
 		srv.Limits = n.snapshots.Limits
+		srv.Draining = n.Draining
+		srv.RunAhead = func(r *http.Request) bool { return !n.Draining() && n.outbound.MayRunAhead(r) }
 	}
 	g.Add(func() error {
 		err := srv.Serve(ln)
@@ -173,18 +175,6 @@
 	<-done
 }
 
-// closeWhileDraining adds Connection: close to answers while the node drains, so
-// that callers reconnect to other nodes. Closing idle connections instead would
-// cut calls that arrive at the same moment.
-func (n *Node) closeWhileDraining(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.Draining() && r.ProtoMajor == 1 {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
-	})
-}
-
 // announceStatus announces a status to the other nodes. The inbound proxy
 // refuses new calls anyway, so a lost announcement only costs callers a retry.
 func (n *Node) announceStatus(ctx context.Context, status membership.Status) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,7 +157,7 @@
 	n.addCallLoops(ctx, &g)
 	n.addPeerServer(ctx, &g)
 	g.Add(func() error { return n.runDrain(ctx) }, func(error) { cancel() })
-	n.httpServers.add(n.addServer(&g, callsServer, n.listeners.calls, n.closeWhileDraining(proxy.Observe(n.outbound, newCallMetrics(n.metrics.Scope, "front").record))))
+	n.httpServers.add(n.addServer(&g, callsServer, n.listeners.calls, proxy.Observe(n.outbound, newCallMetrics(n.metrics.Scope, "front").record)))
 	n.httpServers.add(n.addServer(&g, "guard", n.listeners.inbound, proxy.Observe(n.inbound, newCallMetrics(n.metrics.Scope, "guard").record)))
 	n.addPlatformServers(&g)
 	n.addServer(&g, "admin", n.listeners.admin, n.adminHandler())
--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -14,7 +14,7 @@
 // callerListener accepts the connections of callers.
 type callerListener struct {
 	net.Listener
-	limits func() profile.CallLimits // nil for none
+	server *Server
 }
 
 // Accept implements net.Listener.
@@ -23,10 +23,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		return &callerConn{TCPConn: tcp, limits: l.limits}, nil
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn, nil
+	}
+	c := &callerConn{TCPConn: tcp, limits: l.server.Limits}
+	if l.server.RunAhead != nil {
+		c.pipeline = newPipeline(tcp, l.server)
 	}
-	return conn, nil
+	return c, nil
 }
 
 // callerConn is a connection of a caller. When a call was answered before the
@@ -37,6 +42,7 @@
 type callerConn struct {
 	*net.TCPConn
 	limits       func() profile.CallLimits // nil for none
+	pipeline     *pipeline                 // nil where no calls run ahead
 	phase        atomic.Int32
 	beganEarly   atomic.Bool               // an answer began before the end of the call's body
 	restDeadline atomic.Pointer[time.Time] // deadline for reading the rest of the body; set when the call has ended
@@ -115,6 +121,14 @@
 	}
 }
 
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	if c.pipeline == nil {
+		return c.TCPConn.Read(b)
+	}
+	return c.pipeline.read(b)
+}
+
 // SetReadDeadline implements net.Conn. net/http removes the deadline after it
 // has interrupted a read; the one for the rest of a body is kept.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
@@ -123,12 +137,18 @@
 	} else if !t.IsZero() {
 		t = c.limitDeadline(t)
 	}
+	if c.pipeline != nil {
+		c.pipeline.abortRead(t)
+	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
 // Close implements net.Conn. After an early answer, the first call closes only the
 // write side and discards the rest of the body; a second call closes immediately.
 func (c *callerConn) Close() error {
+	if c.pipeline != nil {
+		c.pipeline.cancelAll()
+	}
 	end := c.restDeadline.Load()
 	if end == nil || c.closing.Swap(true) || c.TCPConn.CloseWrite() != nil {
 		return c.TCPConn.Close()
@@ -140,6 +160,9 @@
 // reset closes the connection with a TCP reset, so that the caller cannot take
 // the end of the connection for the end of an answer.
 func (c *callerConn) reset() {
+	if c.pipeline != nil {
+		c.pipeline.cancelAll()
+	}
 	_ = c.SetLinger(0) // fails on a closed connection only
 	_ = c.TCPConn.Close()
 }
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -175,11 +175,17 @@
 	return c.proxy.cfg.Budgets.Spend(c.service.Name, c.policy.RetryBudget, time.Now())
 }
 
+// balanceRequest returns the request for a server other than the excluded ones.
+func (c *call) balanceRequest(exclude []string) balance.Request {
+	objective, _ := c.objectiveLeft()
+	return balance.Request{Service: c.service, Exclude: exclude, Bytes: c.expectedBytes(), Work: c.work, Objective: objective}
+}
+
 // pick chooses the next server. When no untried one is left and the last one
 // refused with a retry-after of at most half the remaining time, it waits for
 // that time and chooses among all servers again.
 func (c *call) pick(last *attemptResult) (balance.Choice, error) {
-	request := balance.Request{Service: c.service, Exclude: c.exclude, Bytes: c.expectedBytes()}
+	request := c.balanceRequest(c.exclude)
 	choice, err := c.proxy.cfg.Balancer.Pick(time.Now(), request)
 	if err == nil || last == nil || last.outcome() != retry.NotRun || last.answer == nil {
 		return choice, err
@@ -220,7 +226,7 @@
 // attempt sends the call to one server.
 func (c *call) attempt(ctx context.Context, choice balance.Choice, onEarlyHint func(int, textproto.MIMEHeader)) *attemptResult {
 	t := &attemptResult{choice: choice, started: time.Now()}
-	c.proxy.cfg.Stats.Begin(choice.Endpoint.ID, t.started)
+	c.proxy.cfg.Stats.Begin(choice.Endpoint.ID, t.started, c.work)
 	t.answer, t.err = c.send(ctx, choice, false, onEarlyHint)
 	if c.mayResend(t.err) {
 		t.firstSent = t.err.Sent
@@ -236,10 +242,33 @@
 	if t.answer != nil {
 		t.load = proxy.ParseLoad(t.answer.Header.Get(proxy.HeaderLoad))
 		c.mergeQuarantine(t.answer.Header)
+		c.bufferAnswer(t)
 	}
 	return t
 }
 
+// bufferAnswer reads a short answer before any of it is passed on, if other calls
+// run on the caller's connection. An answer that breaks off is then a failed
+// attempt, which may be retried, and does not end the connection with the other
+// calls.
+func (c *call) bufferAnswer(t *attemptResult) {
+	if !t.succeeded() || c.r.Method == http.MethodHead || !proxy.SharesConnection(c.r) {
+		return
+	}
+	c.setAnswerDeadline(t.answer)
+	if err := t.answer.Buffer(); err != nil {
+		t.answer.Close()
+		t.answer, t.err = nil, &proxy.SendError{Cause: err, Sent: true, Connected: true, Canceled: c.ctx.Err() != nil}
+	}
+}
+
+// setAnswerDeadline limits the reading of an answer where the deadline covers it.
+func (c *call) setAnswerDeadline(a *proxy.Answer) {
+	if c.proxy.cfg.Dialect.DeadlineCoversAnswer {
+		a.Deadline = c.deadline.Add(proxy.LateAnswerLimit)
+	}
+}
+
 // mayResend reports whether a call that failed on a reused connection is sent
 // again on a new one before the failure counts against the server. If it may have
 // run, this takes a token from the retry budget.
@@ -305,6 +334,9 @@
 	if t.outcome() == retry.Ran || superseded {
 		c.proxy.cfg.Latencies.Observe(c.route.ID, t.elapsed, now)
 	}
+	if c.proxy.cfg.CallTimes != nil && t.succeeded() && !superseded {
+		c.proxy.cfg.CallTimes.Observe(c.route.ID, t.elapsed, t.choice.Slowness, now)
+	}
 	c.countCrossRegionBytes(t, max(c.r.ContentLength, 0))
 }
 
@@ -327,7 +359,7 @@
 }
 
 func (c *call) result(t *attemptResult) balance.Result {
-	r := balance.Result{Latency: t.elapsed, NotRun: t.outcome() == retry.NotRun, Shed: t.reason() == proxy.ReasonShedByServer}
+	r := balance.Result{Latency: t.elapsed, Work: c.work, NotRun: t.outcome() == retry.NotRun, Shed: t.reason() == proxy.ReasonShedByServer}
 	if t.answer == nil {
 		r.Failed = c.body.Err() == nil
 		r.Unreachable = r.Failed && t.err != nil && !t.err.Canceled && !t.err.TimedOut
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -26,6 +26,7 @@
 	policy           *profile.Policy
 	started          time.Time
 	deadline         time.Time // for the first byte of the answer
+	work             float64   // expected time in relation to the mean call; 0 when unknown
 	idempotent       bool
 	atMostOnce       bool // not idempotent, with a key: the inbound proxy runs it at most once
 	body             *proxy.Body
@@ -167,9 +168,7 @@
 		return
 	}
 	defer t.answer.Close()
-	if c.proxy.cfg.Dialect.DeadlineCoversAnswer {
-		t.answer.Deadline = c.deadline.Add(proxy.LateAnswerLimit)
-	}
+	c.setAnswerDeadline(t.answer)
 	c.setAnswerHeaders(t)
 	n, err := proxy.Relay(c.w, c.r, t.answer)
 	c.countCrossRegionBytes(t, n)
--- a/internal/proxy/outbound/hedge.go
+++ b/internal/proxy/outbound/hedge.go
@@ -92,7 +92,7 @@
 func (h *hedge) send() *attemptResult {
 	c := h.call
 	exclude := append([]string{h.first.Endpoint.ID}, c.exclude...)
-	choice, err := c.proxy.cfg.Balancer.Pick(time.Now(), balance.Request{Service: c.service, Exclude: exclude})
+	choice, err := c.proxy.cfg.Balancer.Pick(time.Now(), c.balanceRequest(exclude))
 	if err != nil || !c.spendRetryBudget() {
 		return nil
 	}
--- a/internal/proxy/outbound/proxy.go
+++ b/internal/proxy/outbound/proxy.go
@@ -28,6 +28,7 @@
 	Budgets   *retry.Budgets
 	Latencies *retry.Latencies
 	CallSizes *balance.CallSizes // nil disables the estimate of a call's bytes
+	CallTimes *balance.CallTimes // nil counts all calls as equally long
 }
 
 // Proxy takes calls from callers and sends them to the inbound proxy of a
@@ -71,6 +72,14 @@
 	c.run(rc)
 }
 
+// MayRunAhead reports whether a call may run before the calls ahead of it on its
+// connection are answered: it may run more than once, since its caller sends it
+// again when the connection closes before its turn.
+func (p *Proxy) MayRunAhead(r *http.Request) bool {
+	route, refusal := p.route(r)
+	return refusal == nil && route.IsIdempotent(r.Method)
+}
+
 func (p *Proxy) route(r *http.Request) (*snapshot.Route, *proxy.Failure) {
 	m := p.cfg.Snapshots.Lookup(hostOf(r), r.Method, r.URL.Path)
 	switch {
@@ -116,6 +125,9 @@
 	if refusal := c.checkKey(now); refusal != nil {
 		return nil, refusal
 	}
+	if p.cfg.CallTimes != nil {
+		c.work = p.cfg.CallTimes.Work(route.ID)
+	}
 	c.header = c.baseHeader(hops + 1)
 	return c, nil
 }
--- /dev/null
+++ b/internal/proxy/pipeline.go
@@ -0,0 +1,259 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+// Limits of the calls that run ahead on one connection.
+const (
+	// maxAheadCalls is the number of calls that run ahead of the one whose answer
+	// is due.
+	maxAheadCalls = 16
+	// maxAheadRequestBytes bounds the requests that were read and wait for their
+	// turn.
+	maxAheadRequestBytes = MaxHeaderBytes
+	// watchBufferBytes is the buffer size for reads during a call.
+	watchBufferBytes = 4 << 10
+)
+
+var watchBuffers = sync.Pool{New: func() any { return new([watchBufferBytes]byte) }}
+
+// pipeline lets calls that a caller sends on one connection before the earlier
+// ones are answered run at the same time. net/http's server begins a request
+// after the answer to the one before, so that each call would wait for all those
+// ahead of it.
+//
+// It lies between the connection and net/http's server and passes requests on
+// one by one. During a call, it reads on, and starts the handler for each
+// further request that may run ahead. When the server comes to that request, its
+// answer is already there or under way, and answers keep the order of requests.
+//
+// This covers requests without a body. From the first request with a body on, or
+// one that changes the protocol, the bytes are passed on unchanged.
+type pipeline struct {
+	conn    net.Conn // for reading
+	server  *Server
+	aborted chan struct{} // signals a read deadline in the past; capacity 1
+
+	// Used by reads only, of which there is one at a time.
+	passThrough bool
+	head        headScanner // of the request that is being passed on
+	failed      error       // ends the connection once set
+
+	mu        sync.Mutex
+	ahead     []byte       // guarded by mu; bytes read and not passed on yet
+	started   int          // guarded by mu; bytes of ahead whose calls have started
+	stalled   bool         // guarded by mu; the request after them must wait for its turn
+	calls     []*aheadCall // guarded by mu; the started calls in order
+	current   *aheadCall   // guarded by mu; the call of the request that was passed on last
+	closing   bool         // guarded by mu; the connection closes after the present answer
+	cancelAll context.CancelFunc
+	ctx       context.Context // of the calls that run ahead
+}
+
+func newPipeline(conn net.Conn, server *Server) *pipeline {
+	p := &pipeline{conn: conn, server: server, aborted: make(chan struct{}, 1)}
+	p.ctx, p.cancelAll = context.WithCancel(context.WithValue(context.Background(), runsAheadKey{}, true))
+	return p
+}
+
+type runsAheadKey struct{}
+
+// SharesConnection reports whether other calls run on the caller's connection of
+// a call, ahead of it or behind it.
+func SharesConnection(r *http.Request) bool {
+	if r.Context().Value(runsAheadKey{}) != nil {
+		return true
+	}
+	conn := callerConnOf(r)
+	if conn == nil || conn.pipeline == nil {
+		return false
+	}
+	conn.pipeline.mu.Lock()
+	defer conn.pipeline.mu.Unlock()
+	return len(conn.pipeline.calls) > 0
+}
+
+// read implements the Read of the connection.
+func (p *pipeline) read(b []byte) (int, error) {
+	switch {
+	case p.failed != nil:
+		return 0, p.failed
+	case !p.passThrough && p.head.complete && len(b) == 1:
+		// net/http's server reads one byte during a call to notice that the
+		// caller has disconnected.
+		return 0, p.watch()
+	}
+	if n := p.passOnAhead(b); n > 0 {
+		return n, nil
+	}
+	n, err := p.conn.Read(b)
+	if n > 0 && !p.passThrough {
+		n = p.passOn(b[:n])
+	}
+	return n, err
+}
+
+// passOnAhead copies bytes that were read before, at most to the end of one head.
+func (p *pipeline) passOnAhead(b []byte) int {
+	p.mu.Lock()
+	n := copy(b, p.ahead)
+	p.mu.Unlock()
+	if n == 0 {
+		return 0
+	}
+	if !p.passThrough {
+		n = p.scan(b[:n])
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ahead = p.ahead[n:]
+	if p.started = max(p.started-n, 0); len(p.ahead) == 0 {
+		p.ahead = nil
+	}
+	return n
+}
+
+// passOn keeps what follows the end of the head in b and returns the length of
+// the rest.
+func (p *pipeline) passOn(b []byte) int {
+	n := p.scan(b)
+	if n < len(b) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.ahead = append(p.ahead, b[n:]...)
+	}
+	return n
+}
+
+// scan follows the head of the request that is passed on and returns how many of
+// the bytes belong to it.
+func (p *pipeline) scan(b []byte) int {
+	if p.head.complete {
+		p.head = headScanner{bytes: p.head.bytes[:0]}
+	}
+	n := p.head.scan(b)
+	if !p.head.complete {
+		p.passThrough = p.head.tooLong()
+		return n
+	}
+	if !p.head.endsRequest() {
+		p.passThrough = true
+		return len(b)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stalled, p.current = false, nil
+	if len(p.calls) > 0 {
+		p.current, p.calls = p.calls[0], p.calls[1:]
+	}
+	return n
+}
+
+// watch reads during a call until the read is aborted or fails, and starts the
+// calls that may run ahead.
+func (p *pipeline) watch() error {
+	buffer := watchBuffers.Get().(*[watchBufferBytes]byte)
+	defer watchBuffers.Put(buffer)
+	p.startCalls()
+	for {
+		p.mu.Lock()
+		full := len(p.ahead) >= maxAheadRequestBytes
+		p.mu.Unlock()
+		if full {
+			<-p.aborted
+			return os.ErrDeadlineExceeded
+		}
+		n, err := p.conn.Read(buffer[:])
+		if n > 0 {
+			p.mu.Lock()
+			p.ahead = append(p.ahead, buffer[:n]...)
+			p.mu.Unlock()
+			p.startCalls()
+		}
+		if err == nil {
+			continue
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			p.failed = err
+			p.cancelAll()
+		}
+		return err
+	}
+}
+
+// abortRead ends a read that waits for its turn. It is called with each read
+// deadline that is set.
+func (p *pipeline) abortRead(deadline time.Time) {
+	select {
+	case <-p.aborted:
+	default:
+	}
+	if deadline.IsZero() || deadline.After(time.Now()) {
+		return
+	}
+	select {
+	case p.aborted <- struct{}{}:
+	default: // already signalled
+	}
+}
+
+// startCalls starts the calls of the complete requests that were read and may run
+// ahead. The first one that may not stops this until it is passed on.
+func (p *pipeline) startCalls() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for !p.stalled && !p.closing && len(p.calls) < maxAheadCalls {
+		var head headScanner
+		n := head.scan(p.ahead[p.started:])
+		if !head.complete {
+			return
+		}
+		request := parseAhead(&head)
+		if request == nil || !p.server.RunAhead(request) {
+			p.stalled = true
+			return
+		}
+		p.started += n
+		p.calls = append(p.calls, startAheadCall(p.ctx, p.server, request, p.conn))
+	}
+}
+
+// takeCall returns the call of the request that was passed on last, or nil when it
+// did not run ahead.
+func (p *pipeline) takeCall() *aheadCall {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	call := p.current
+	p.current = nil
+	return call
+}
+
+// mayClose reports whether the connection may close after the present answer:
+// no call behind it has started. None is started from then on.
+func (p *pipeline) mayClose() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closing = len(p.calls) == 0
+	return p.closing
+}
+
+// parseAhead parses a head that net/http's server would accept, or returns nil.
+func parseAhead(head *headScanner) *http.Request {
+	if !head.endsRequest() || !head.plain() {
+		return nil
+	}
+	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head.bytes)))
+	if err != nil || request.Host == "" || !request.ProtoAtLeast(1, 1) || request.Close {
+		return nil
+	}
+	return request
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"log"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
@@ -26,14 +28,25 @@
 	// Limits returns the timeouts of HTTP/1.1 connections; nil means the built-in
 	// ones.
 	Limits func() profile.CallLimits
+	// RunAhead reports whether a call may run before the earlier calls on its
+	// connection are answered; nil lets none. A call that must not run twice may
+	// not: the caller sends it again when an answer before it closes the connection.
+	RunAhead func(*http.Request) bool
+	// Draining reports whether answers over HTTP/1.1 close their connection, so
+	// that callers reconnect to other nodes; nil means never. Closing idle
+	// connections instead would cut calls that arrive at the same moment.
+	Draining func() bool
+
+	calls http.Handler // without what concerns the connection
 }
 
 // NewServer returns a Server.
 func NewServer(h http.Handler) *Server {
-	srv := &Server{Server: http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+	srv := &Server{calls: h, Server: http.Server{
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: netHTTPHeaderBytes, Protocols: &http.Protocols{}, ConnContext: withCallerConn, ConnState: updatePhase,
 	}}
+	srv.Handler = http.HandlerFunc(srv.serveCall)
 	srv.Protocols.SetHTTP1(true)
 	srv.Protocols.SetUnencryptedHTTP2(true)
 	return srv
@@ -41,7 +54,35 @@
 
 // Serve accepts the connections of callers on ln.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.Server.Serve(callerListener{Listener: ln, limits: s.Limits})
+	return s.Server.Serve(callerListener{Listener: ln, server: s})
+}
+
+// serveCall answers a call in its turn on the connection.
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	var p *pipeline
+	if conn := callerConnOf(r); conn != nil {
+		p = conn.pipeline
+	}
+	if r.ProtoMajor == 1 && s.Draining != nil && s.Draining() && (p == nil || p.mayClose()) {
+		w.Header().Set("Connection", "close")
+	}
+	if p != nil {
+		if call := p.takeCall(); call != nil {
+			call.play(w, r)
+			return
+		}
+	}
+	s.calls.ServeHTTP(w, r)
+}
+
+// logPanic logs a panic of a handler that runs ahead, as net/http's server does
+// for others.
+func (s *Server) logPanic(r *http.Request, v any) {
+	logf := log.Printf
+	if s.ErrorLog != nil {
+		logf = s.ErrorLog.Printf
+	}
+	logf("http: panic serving %v: %v\n%s", r.RemoteAddr, v, debug.Stack())
 }
 
 // BeginCall prepares the connection for a call.
--- a/internal/proxy/transmission.go
+++ b/internal/proxy/transmission.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -83,6 +84,30 @@
 	a.cancel(nil)
 }
 
+// MaxBufferedAnswer is the largest body that Buffer reads.
+const MaxBufferedAnswer = 16 << 10
+
+// Buffer reads a body of known length up to MaxBufferedAnswer into memory. It
+// fails when the body breaks off, before any of it was passed on.
+func (a *Answer) Buffer() error {
+	if a.ContentLength <= 0 || a.ContentLength > MaxBufferedAnswer {
+		return nil
+	}
+	data := make([]byte, a.ContentLength)
+	if _, err := io.ReadFull(a, data); err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	// The next read returns the end of the body, and with it the connection.
+	a.Body = &bufferedBody{Reader: io.MultiReader(bytes.NewReader(data), a.Body), Closer: a.Body}
+	return nil
+}
+
+// bufferedBody is a body whose beginning was read before.
+type bufferedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // maxDiscardBytes is the largest body that Discard reads to its end in order to
 // keep the connection.
 const maxDiscardBytes = 4 << 10
