Admit large answers by the rate of the link, and refuse calls by what they ask for

Links of 16 Mbit/s carry downloads of 90 KB; with one of four servers of the second service lost and two failing, downloads filled the links of the rest. Connections to those nodes then timed out, calls that backend servers make failed, the calls that waited for them held their slots for 500 to 800 ms instead of 235, and both services refused nearly all: 2,600 refusals a second for 300 calls, since each call asked up to four servers, which a refusal of any rank made unavailable for all.

Change: admission.Link counts the expected bytes of admitted large answers as a queue that drains at the link's rate (setting network.linkMbps); a large call is refused with link_busy when that queue is too long for it. A refusal for want of a slot counts for its rank and lower ones, one for want of link for large answers only. A call that was refused is not tried again when all other servers refuse such calls. The wait of a call counts only calls of its rank that go before it. An entry that was announced is not announced again when the backend server reports, which was half of the writes at a start.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -18,6 +18,7 @@
 	BackgroundShare float64       // largest share of the slots for background calls while callers wait
 	ColdStart       time.Duration // time over which the slots of a started server are opened; 0 opens all at once
 	ServiceTimes    *ServiceTimes // service times of the routes; nil for new ones
+	Link            *Link         // of the instance; nil for none
 	SingleClass     bool          // treat every call as short; a baseline for benchmarks
 }
 
@@ -114,6 +115,7 @@
 	if d, refused := c.refuseLocked(now, t, r.MaxWait); refused {
 		return nil, d
 	}
+	c.cfg.Link.Add(now, t.bytes)
 	c.queue.push(t, now)
 	c.grantLocked(now)
 	if t.state == stateRunning {
@@ -151,6 +153,9 @@
 
 		preempted: make(chan struct{}),
 	}
+	if r.Bytes >= LargeAnswerBytes {
+		t.bytes = r.Bytes
+	}
 	t.objectiveStart = t.latestStart
 	if !r.Objective.IsZero() {
 		t.hasObjective = true
@@ -176,6 +181,8 @@
 		return c.refusalLocked(now, ReasonDeadline), true
 	case c.exceedsMaxWaitLocked(now, t, maxWait), c.startsTooLateLocked(now, t):
 		return c.refusalLocked(now, ReasonOverloaded), true
+	case c.linkWaitLocked(now, t) > c.linkPatience(now, t, maxWait):
+		return c.refusalLocked(now, ReasonLinkBusy), true
 	case c.makeRoomLocked(now, t):
 		return Decision{}, false
 	}
@@ -208,6 +215,24 @@
 	return c.waitOfLocked(now, t) > patience
 }
 
+// linkWaitLocked estimates how long the answer of a call waits for the link, 0 for
+// a short one.
+func (c *Controller) linkWaitLocked(now time.Time, t *Ticket) time.Duration {
+	if t.bytes == 0 {
+		return 0
+	}
+	return c.cfg.Link.Wait(now)
+}
+
+// linkPatience returns how long the answer of a call may wait for the link.
+func (c *Controller) linkPatience(now time.Time, t *Ticket, maxWait time.Duration) time.Duration {
+	patience := time.Duration(patienceShare * float64(t.limit(now).Sub(now)))
+	if maxWait > 0 {
+		return min(patience, maxWait)
+	}
+	return patience
+}
+
 // makeRoomLocked reports whether a call may run or be queued, and sheds another
 // call for it if need be. A caller's call displaces the oldest queued background
 // call, as does a background call in a standing queue. If there is none, a
@@ -300,6 +325,7 @@
 	switch t.state {
 	case stateWaiting:
 		c.queue.remove(t)
+		c.cfg.Link.Add(now, -t.bytes)
 		t.state = stateDone
 		return false
 	case stateRunning:
@@ -342,6 +368,7 @@
 // shedLocked removes a waiting call from the queue and refuses it.
 func (c *Controller) shedLocked(now time.Time, t *Ticket, reason Reason) {
 	c.queue.remove(t)
+	c.cfg.Link.Add(now, -t.bytes)
 	t.state = stateDone
 	c.recordShedLocked(now, t)
 	t.ready <- c.refusalLocked(now, reason)
@@ -358,8 +385,11 @@
 // calls queued now are served, or drainRetryAfter; at least minRetryAfter.
 func (c *Controller) refusalLocked(now time.Time, reason Reason) Decision {
 	after := c.waitLocked(now)
-	if reason == ReasonDraining {
+	switch reason {
+	case ReasonDraining:
 		after = drainRetryAfter
+	case ReasonLinkBusy:
+		after = c.cfg.Link.Wait(now)
 	}
 	return Decision{Verdict: Refused, Reason: reason, RetryAfter: max(after, minRetryAfter)}
 }
@@ -373,11 +403,12 @@
 // that go before it. In a standing queue, calls of higher ranks that arrive later
 // go before it too, so the rate at which its own rank was served counts.
 func (c *Controller) waitOfLocked(now time.Time, t *Ticket) time.Duration {
-	wait := c.slotIntervalLocked(now) * time.Duration(c.queue.ahead(t, now)+1)
+	all, sameRank := c.queue.ahead(t, now)
+	wait := c.slotIntervalLocked(now) * time.Duration(all+1)
 	if !c.queue.standing(now) {
 		return wait
 	}
-	return max(wait, c.shares.interval(t.rank, now)*time.Duration(c.queue.waitingOfRank(t.rank)+1))
+	return max(wait, c.shares.interval(t.rank, now)*time.Duration(sameRank+1))
 }
 
 // slotIntervalLocked is the mean time between two slots that become free while
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -36,17 +36,6 @@
 	return n
 }
 
-// waitingOfRank returns the number of tickets of a rank.
-func (q *queue) waitingOfRank(rank int) int {
-	n := 0
-	for _, t := range q.tickets {
-		if t.rank == rank {
-			n++
-		}
-	}
-	return n
-}
-
 func (q *queue) push(t *Ticket, now time.Time) {
 	if len(q.tickets) == 0 {
 		q.since = now
@@ -116,16 +105,20 @@
 	return out
 }
 
-// ahead returns how many waiting tickets go before a new one.
-func (q *queue) ahead(t *Ticket, now time.Time) int {
+// ahead returns how many waiting tickets go before a new one, and how many of them
+// are of its rank.
+func (q *queue) ahead(t *Ticket, now time.Time) (all, sameRank int) {
 	standing := q.standing(now)
-	n := 0
 	for _, other := range q.tickets {
-		if !t.before(other, now, standing) {
-			n++
+		if t.before(other, now, standing) {
+			continue
+		}
+		all++
+		if other.rank == t.rank {
+			sameRank++
 		}
 	}
-	return n
+	return all, sameRank
 }
 
 // hopeless returns the tickets with a latency objective that would start after
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -33,6 +33,8 @@
 	// Objective is when the answer must arrive to be in time; zero for none. An
 	// answer after it still has some value until the deadline.
 	Objective time.Time
+	// Bytes is the expected size of the answer, 0 when unknown.
+	Bytes int64
 	// MaxWait is the longest expected wait for a slot that is accepted, since the
 	// call can be sent to another server; 0 sets no bound.
 	MaxWait time.Duration
@@ -56,6 +58,7 @@
 	ReasonOverloaded Reason = "overloaded" // no slot is free in time
 	ReasonDeadline   Reason = "deadline"   // less time left than the expected service time
 	ReasonDraining   Reason = "draining"   // the backend server is draining
+	ReasonLinkBusy   Reason = "link_busy"  // the instance's link has no room for a large answer in time
 )
 
 // Decision answers a Request.
@@ -104,6 +107,7 @@
 	latestStart    time.Time // latest start at which the deadline can be met
 	objectiveStart time.Time // latest start at which the objective can be met; latestStart without an objective
 	hasObjective   bool
+	bytes          int64         // counted on the link
 	ready          chan Decision // delivers the one decision; capacity 1
 
 	preempted chan struct{} // closed when the call should be cancelled
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/admission"
 	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
 
@@ -109,6 +110,8 @@
 	Bytes int64
 	// Work is as in Result.
 	Work float64
+	// Rank is the rank of the call's route; 0 is the most important one.
+	Rank int
 	// Objective is the time left in which the answer should arrive; 0 sets none.
 	Objective time.Duration
 }
@@ -119,6 +122,9 @@
 	Tier     Tier
 	// Expected is the expected completion time; 0 for a probe.
 	Expected time.Duration
+	// Avoided means that all servers have refused calls like this one lately, or
+	// cannot be reached.
+	Avoided bool
 	// Slowness is the latency of the server in relation to the mean of the
 	// service's servers; 0 for a probe.
 	Slowness float64
@@ -135,6 +141,19 @@
 	Slots  int
 }
 
+// Refusal says what a server that refused a call lacks.
+type Refusal int
+
+// Refusals.
+const (
+	RefusedAll  Refusal = iota // it takes no calls at present
+	RefusedRank                // it has no slot for calls of this rank and lower ones
+	RefusedLink                // it has no room on its link for large answers of this rank and lower ones
+)
+
+// LargeCallBytes is the size from which a call counts as large.
+const LargeCallBytes = admission.LargeAnswerBytes
+
 // Result is the outcome of an attempt.
 type Result struct {
 	// Latency runs from Begin to the first byte of the answer or the failure.
@@ -155,8 +174,12 @@
 	// refusal because of load or drain must set it: without it, and unless Failed
 	// is set too, the refusal is attributed to the request.
 	RetryAfter time.Duration
+	// Refused says which other calls RetryAfter applies to.
+	Refused Refusal
 	// Report is the load report in the answer, if any.
 	Report *LoadReport
+	// Rank is as in Request.
+	Rank int
 	// Work is the time that the call takes in relation to the mean call of the node
 	// on the same server; 0 counts as 1. Begin must have got the same.
 	Work float64
--- a/internal/balance/objective_test.go
+++ b/internal/balance/objective_test.go
@@ -95,3 +95,34 @@
 		})
 	}
 }
+
+// Guards against a refusal of a call of low rank, or of a large one, that keeps
+// the calls from a server that it would serve.
+func TestRefusalCoversOnlySuchCalls(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		refused Result
+		request Request
+		avoided bool
+	}{
+		{"same rank", Result{Refused: RefusedRank, Rank: 2}, Request{Rank: 2}, true},
+		{"lower rank", Result{Refused: RefusedRank, Rank: 2}, Request{Rank: 3}, true},
+		{"higher rank", Result{Refused: RefusedRank, Rank: 2}, Request{Rank: 1}, false},
+		{"large call for the link", Result{Refused: RefusedLink, Rank: 1}, Request{Rank: 1, Bytes: LargeCallBytes}, true},
+		{"short call for the link", Result{Refused: RefusedLink, Rank: 1}, Request{Rank: 1}, false},
+		{"a server that takes no calls", Result{Rank: 2}, Request{Rank: 0}, true},
+	} {
+		b := newTestBalancer()
+		r := c.request
+		r.Service = service("west/w1", "west/w1")
+		b.Ejected(start, r.Service)
+		c.refused.NotRun, c.refused.RetryAfter = true, time.Second
+		answer(b, "s0", warm, c.refused)
+		assert.Equal(t, shares(t, b, warm, r)["s0"] == 0, c.avoided, c.name)
+		answer(b, "s1", warm, c.refused)
+		choice, err := b.Pick(warm, r)
+		assert.NilError(t, err)
+		assert.Equal(t, choice.Avoided, c.avoided, c.name)
+		assert.Assert(t, shares(t, b, warm.Add(time.Second), r)["s0"] > 0, c.name)
+	}
+}
--- a/internal/balance/selection.go
+++ b/internal/balance/selection.go
@@ -115,6 +115,7 @@
 	s.fallback = s.meanLatency()
 	for _, avoided := range []bool{false, true} {
 		if best, ok := s.best(avoided); ok {
+			best.Avoided = avoided
 			return best, nil
 		}
 	}
@@ -152,7 +153,7 @@
 	out := make([]*candidate, 0, len(tier))
 	for i := range tier {
 		c := &tier[i]
-		if s.left(c) && (avoided || !s.now.Before(c.server.avoidUntil)) {
+		if s.left(c) && (avoided || !c.server.avoids(s.now, s.request)) {
 			out = append(out, c)
 		}
 	}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -37,6 +37,8 @@
 	badAt    time.Time
 
 	avoidUntil             time.Time // avoided until then, see updateAvoidance
+	noSlot                 shortage  // for calls of a rank
+	noLink                 shortage  // for large calls of a rank
 	consecutiveUnreachable int       // consecutive attempts that did not reach it; concurrent ones count once
 
 	ejectionState
@@ -211,11 +213,54 @@
 	if !r.NotRun && !r.Unreachable || wait <= 0 {
 		return
 	}
-	if until := now.Add(min(wait, cfg.AvoidMax)); until.After(s.avoidUntil) {
+	until := now.Add(min(wait, cfg.AvoidMax))
+	switch {
+	case r.Refused == RefusedRank:
+		s.noSlot.extend(now, until, r.Rank)
+	case r.Refused == RefusedLink:
+		s.noLink.extend(now, until, r.Rank)
+	case until.After(s.avoidUntil):
 		s.avoidUntil = until
 	}
 }
 
+// shortage is a time for which a server refuses calls of a rank and lower ones.
+type shortage struct {
+	until time.Time
+	rank  int // the most important rank that was refused
+}
+
+// covers reports whether calls of a rank would be refused.
+func (s shortage) covers(now time.Time, rank int) bool { return now.Before(s.until) && rank >= s.rank }
+
+// extend records a refusal.
+func (s *shortage) extend(now, until time.Time, rank int) {
+	if !now.Before(s.until) {
+		*s = shortage{until: until, rank: rank}
+		return
+	}
+	s.rank = min(s.rank, rank)
+	if until.After(s.until) {
+		s.until = until
+	}
+}
+
+// avoids reports whether a call is better sent to another server.
+func (s *server) avoids(now time.Time, r Request) bool {
+	return now.Before(s.avoidUntil) || s.noSlot.covers(now, r.Rank) || r.Bytes >= LargeCallBytes && s.noLink.covers(now, r.Rank)
+}
+
+// someAvoidedUntil returns until when the server is avoided for some calls.
+func (s *server) someAvoidedUntil() time.Time {
+	until := s.avoidUntil
+	for _, other := range []time.Time{s.noSlot.until, s.noLink.until} {
+		if other.After(until) {
+			until = other
+		}
+	}
+	return until
+}
+
 // countUnreachable counts consecutive attempts that did not reach the server. An
 // attempt that began before avoidUntil adds no information, since it was sent
 // before the last one was known to have failed, or for lack of another server.
--- a/internal/balance/stats.go
+++ b/internal/balance/stats.go
@@ -176,7 +176,7 @@
 	Latency      time.Duration `json:"latencyNs"`
 	Ejected      bool          `json:"ejected"`
 	EjectedUntil time.Time     `json:"ejectedUntil,omitzero"`
-	AvoidUntil   time.Time     `json:"steerUntil,omitzero"`
+	AvoidUntil   time.Time     `json:"steerUntil,omitzero"` // for some calls or all
 }
 
 // Views returns the state of every server, ordered by id.
@@ -185,7 +185,7 @@
 	s.servers.Range(func(id string, v server) bool {
 		out = append(out, View{
 			ID: id, InFlight: v.inFlight, Latency: v.mean(),
-			Ejected: v.ejected, EjectedUntil: v.ejectedUntil, AvoidUntil: v.avoidUntil,
+			Ejected: v.ejected, EjectedUntil: v.ejectedUntil, AvoidUntil: v.someAvoidedUntil(),
 		})
 		return true
 	})
--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -65,13 +65,14 @@
 	topology        atomic.Pointer[membership.Topology]
 	topologyChanged *broadcast // notified when the topology is recomputed
 	detector        *membership.Detector
-	peerPositions   *shard.Map[profile.Position]  // last position that each node reported
-	digestDiffers   *shard.Map[time.Time]         // when a neighbour's digest began to differ
-	inFlight        *shard.Map[bool]              // tasks of startUnlessRunning, by purpose and node
-	digest          atomic.Uint64                 // of the table as of the last heartbeat
-	refusedEntries  atomic.Int64                  // entries that Member.Validate rejected
-	isolated        atomic.Bool                   // the node reaches no linked node, see updateIsolation
-	isolatedDeaths  *shard.Map[membership.Member] // earlier entries of members that it declared dead meanwhile
+	peerPositions   *shard.Map[profile.Position]      // last position that each node reported
+	digestDiffers   *shard.Map[time.Time]             // when a neighbour's digest began to differ
+	inFlight        *shard.Map[bool]                  // tasks of startUnlessRunning, by purpose and node
+	digest          atomic.Uint64                     // of the table as of the last heartbeat
+	announced       atomic.Pointer[membership.Member] // entry that was last announced
+	refusedEntries  atomic.Int64                      // entries that Member.Validate rejected
+	isolated        atomic.Bool                       // the node reaches no linked node, see updateIsolation
+	isolatedDeaths  *shard.Map[membership.Member]     // earlier entries of members that it declared dead meanwhile
 
 	buildDue       chan struct{} // a build is due
 	installed      *broadcast    // notified when a snapshot is installed
--- a/internal/distribution/announcements.go
+++ b/internal/distribution/announcements.go
@@ -22,15 +22,15 @@
 	directoryPause = time.Second
 )
 
-// announceSelf announces the node's entry at the start and then every
-// announceInterval.
+// announceSelf announces the node's entry at the start, unless that was done, and
+// then every announceInterval.
 func (a *Agent) announceSelf(ctx context.Context) error {
 	if !wait.For(ctx, rand.N(firstAnnounceSpreads*a.StartSpread)) {
 		return nil
 	}
-	for {
+	for announce := a.AnnounceOnce; ; announce = a.announceEntry {
 		for attempt := 1; ; attempt++ {
-			err := a.Directory.Announce(ctx, a.self())
+			err := announce(ctx)
 			if err == nil {
 				break
 			}
@@ -45,6 +45,26 @@
 	}
 }
 
+// announceEntry announces the node's entry in the directory.
+func (a *Agent) announceEntry(ctx context.Context) error {
+	self := a.self()
+	err := a.Directory.Announce(ctx, self)
+	if err == nil {
+		a.announced.Store(&self)
+	}
+	return err
+}
+
+// AnnounceOnce announces the node's entry unless the directory has it already. A
+// node and its backend server start together, and every call to the directory
+// counts.
+func (a *Agent) AnnounceOnce(ctx context.Context) error {
+	if last := a.announced.Load(); last != nil && *last == a.self() {
+		return nil
+	}
+	return a.announceEntry(ctx)
+}
+
 // logFirstFailure logs only the first of several consecutive failures, so that a
 // long outage of a dependency does not fill the log.
 func (a *Agent) logFirstFailure(event string, attempt int, err error) {
--- a/internal/distribution/directory_test.go
+++ b/internal/distribution/directory_test.go
@@ -73,3 +73,28 @@
 		synctest.Wait()
 	})
 }
+
+// countingDirectory counts announcements.
+type countingDirectory struct {
+	busyDirectory
+	announced atomic.Int64
+}
+
+func (d *countingDirectory) Announce(context.Context, membership.Member) error {
+	d.announced.Add(1)
+	return nil
+}
+
+// TestUnchangedEntryIsAnnouncedOnce guards against a node that announces the same
+// entry again when its backend server reports: every call to the store counts.
+func TestUnchangedEntryIsAnnouncedOnce(t *testing.T) {
+	a, d := newTestAgent(t), &countingDirectory{}
+	a.Directory = d
+	for range 3 {
+		assert.NilError(t, a.AnnounceOnce(t.Context()))
+	}
+	assert.Equal(t, d.announced.Load(), int64(1))
+	a.UpdateSelf(func(m membership.Member) membership.Member { return m })
+	assert.NilError(t, a.AnnounceOnce(t.Context()))
+	assert.Equal(t, d.announced.Load(), int64(2))
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -51,7 +51,8 @@
 	if n.hasServerReports() {
 		coldStart = 0 // the balancers see from the reports that a cold server is slow; all its slots stay usable
 	}
-	c.admission = admission.NewController(admission.Config{Slots: n.settings.BackendServer.Slots, Queue: defaultQueueLimit, ColdStart: coldStart})
+	link := admission.NewLink(n.settings.Network.LinkMbps * bytesPerMbit)
+	c.admission = admission.NewController(admission.Config{Slots: n.settings.BackendServer.Slots, Queue: defaultQueueLimit, ColdStart: coldStart, Link: link})
 	c.claims = newClaimRouter(self.ID, logClient, n.members, n.peers.pool, n.agent.Digest)
 	c.coordinator = idempotency.NewCoordinator(idempotency.CoordinatorConfig{
 		Self: idempotency.Holder{Node: self.ID, Incarnation: self.Incarnation}, ClaimerFor: c.claims.claimerFor,
@@ -74,7 +75,7 @@
 	n.outbound = outbound.New(outbound.Config{
 		HopConfig: hop,
 		Snapshots: n.snapshots, Client: c.nodeClient, Balancer: balance.NewBalancer(c.stats, n.locality(self), rand.Uint64), Stats: c.stats,
-		Budgets: c.budgets, Latencies: c.latencies, CallSizes: c.callSizes, CallTimes: c.callTimes,
+		Budgets: c.budgets, Latencies: c.latencies, CallSizes: c.callSizes, CallTimes: c.callTimes, Link: link,
 	})
 	n.inbound = inbound.New(inbound.Config{
 		HopConfig: hop,
@@ -83,6 +84,9 @@
 	})
 }
 
+// bytesPerMbit converts rates of links.
+const bytesPerMbit = 1e6 / 8
+
 const (
 	// backendIdleTimeout is below the 10 s after which backend servers close
 	// idle connections.
@@ -183,6 +187,7 @@
 	n.callPath.latencies.Prune(now, unusedRetention)
 	n.callPath.callSizes.Prune(now, unusedRetention)
 	n.callPath.callTimes.Prune(now, unusedRetention)
+	n.inbound.Prune(now, unusedRetention)
 }
 
 // updateAdmissionPolicy sets the admission limits from the policy of the node's
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -98,7 +98,7 @@
 	if !report.Leaving {
 		if c.Started {
 			n := r.Node
-			go n.announceStart(self)
+			go n.announceStart()
 		}
 		return
 	}
@@ -121,11 +121,11 @@
 
 // announceStart writes the node's entry with the backend server's service to the
 // directory, so that nodes that start at the same time can call it.
-func (n *Node) announceStart(self membership.Member) {
+func (n *Node) announceStart() {
 	time.Sleep(rand.N(n.settings.Platform.StartSpread.D()))
 	ctx, cancel := context.WithTimeout(context.Background(), startAnnounceTimeout)
 	defer cancel()
-	if err := n.agent.Directory.Announce(ctx, self); err != nil {
+	if err := n.agent.AnnounceOnce(ctx); err != nil {
 		n.logger.Warn("announce_failed", "error", err)
 	}
 }
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -53,6 +53,7 @@
 	ReasonNoBackend         = "no_backend"
 	ReasonDraining          = "draining"
 	ReasonOverloaded        = "overloaded"
+	ReasonLinkBusy          = "link_busy"      // the server's link has no room for a large answer
 	ReasonShedByServer      = "shed_by_server" // the backend server itself did not run the call
 	ReasonWrongService      = "wrong_service"  // the address now belongs to another service
 	ReasonNotReported       = "not_reported"   // the backend server has not reported to its node yet
--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -60,7 +60,7 @@
 	}
 	request := admission.Request{
 		Route: c.r.Header.Get(proxy.HeaderRoute), Priority: priority, Rank: proxy.RankOf(c.r.Header),
-		Deadline: c.deadline, MaxWait: proxy.MaxSlotWaitOf(c.r.Header),
+		Deadline: c.deadline, MaxWait: proxy.MaxSlotWaitOf(c.r.Header), Bytes: c.proxy.answerSizes.Mean(c.r.Header.Get(proxy.HeaderRoute)),
 	}
 	if left, ok := proxy.ObjectiveOf(c.r.Header); ok {
 		request.Objective = c.started.Add(left)
@@ -97,7 +97,11 @@
 	case admission.ReasonDeadline:
 		return proxy.NotRun(http.StatusGatewayTimeout, proxy.ReasonDeadline, "too little time is left for the call").WithRetryAfter(d.RetryAfter)
 	}
-	return proxy.NotRun(http.StatusServiceUnavailable, string(d.Reason), "no slot of the backend server becomes free in time").WithRetryAfter(d.RetryAfter)
+	message := "no slot of the backend server becomes free in time"
+	if d.Reason == admission.ReasonLinkBusy {
+		message = "the link of the backend server has no room for the answer in time"
+	}
+	return proxy.NotRun(http.StatusServiceUnavailable, string(d.Reason), message).WithRetryAfter(d.RetryAfter)
 }
 
 // exchange sends the call to the backend server, again if mayResend allows it,
@@ -272,6 +276,9 @@
 		h[proxy.HeaderReason] = []string{retry.ReasonExhausted}
 	}
 	n, err := proxy.Relay(c.w, c.r, a)
+	if err == nil {
+		c.proxy.answerSizes.Observe(c.r.Header.Get(proxy.HeaderRoute), n, time.Now())
+	}
 	switch {
 	case err == nil:
 		c.publishQuarantine(c.proxy.cfg.Quarantine.RecordSuccess(c.fingerprint, time.Now()))
--- a/internal/proxy/inbound/proxy.go
+++ b/internal/proxy/inbound/proxy.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/admission"
+	"github.com/goldcrestshed/goldcrestshed/internal/balance"
 	"github.com/goldcrestshed/goldcrestshed/internal/idempotency"
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
@@ -39,6 +40,7 @@
 	backendDown atomic.Bool                 // the backend server refused the last connection
 	budget      *retry.Budgets              // of calls sent again on a new connection
 	serverState atomic.Pointer[ServerState] // nil until the backend server has reported
+	answerSizes *balance.CallSizes          // of the answers passed on
 }
 
 // New returns a Proxy.
@@ -47,7 +49,7 @@
 	if cfg.InboundAddressOf == nil {
 		cfg.InboundAddressOf = func(idempotency.Holder) (string, bool) { return "", false }
 	}
-	return &Proxy{cfg: cfg, calls: proxy.NewCallCount(), budget: retry.NewBudgets()}
+	return &Proxy{cfg: cfg, calls: proxy.NewCallCount(), budget: retry.NewBudgets(), answerSizes: balance.NewCallSizes()}
 }
 
 // Drain refuses, from now on, every call that was not yet sent to the backend
@@ -57,6 +59,9 @@
 	p.cfg.Admission.Drain()
 }
 
+// Prune drops what is known of routes without a call in the given time.
+func (p *Proxy) Prune(now time.Time, unused time.Duration) { p.answerSizes.Prune(now, unused) }
+
 // Wait waits until no call is in progress or the context ends.
 func (p *Proxy) Wait(ctx context.Context) error { return p.calls.Wait(ctx) }
 
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -71,6 +71,11 @@
 	return ""
 }
 
+// errAllRefuse ends a call that was refused when all other servers have refused
+// calls like it a moment ago: each further try costs two nodes the time that they
+// lack, and the caller time to come back.
+var errAllRefuse = errors.New("all servers have refused such calls lately")
+
 // sendWithRetries sends the call until there is a final result for the caller.
 func (c *call) sendWithRetries() *attemptResult {
 	var last *attemptResult
@@ -82,6 +87,9 @@
 		if err != nil {
 			return c.withoutServer(last, err)
 		}
+		if last != nil && choice.Avoided && last.outcome() == retry.NotRun {
+			return c.withoutServer(last, errAllRefuse)
+		}
 		c.discard(last)
 		t := c.sendToServer(choice)
 		c.countAttempt(t)
@@ -178,7 +186,7 @@
 // balanceRequest returns the request for a server other than the excluded ones.
 func (c *call) balanceRequest(exclude []string) balance.Request {
 	objective, _ := c.objectiveLeft()
-	return balance.Request{Service: c.service, Exclude: exclude, Bytes: c.expectedBytes(), Work: c.work, Objective: objective}
+	return balance.Request{Service: c.service, Exclude: exclude, Bytes: c.expectedBytes(), Work: c.work, Rank: c.route.Rank, Objective: objective}
 }
 
 // pick chooses the next server. When no untried one is left and the last one
@@ -352,14 +360,25 @@
 // calls at present, so that its retry-after applies to other calls too.
 func serverUnavailable(t *attemptResult) bool {
 	switch t.reason() {
-	case proxy.ReasonOverloaded, proxy.ReasonShedByServer, proxy.ReasonDraining, proxy.ReasonConnectFailed, proxy.ReasonNotReported, proxy.ReasonWrongService:
+	case proxy.ReasonOverloaded, proxy.ReasonLinkBusy, proxy.ReasonShedByServer, proxy.ReasonDraining, proxy.ReasonConnectFailed, proxy.ReasonNotReported, proxy.ReasonWrongService:
 		return true
 	}
 	return t.outcome() == retry.Ran && t.status() == http.StatusServiceUnavailable
 }
 
+// refusalOf returns which other calls a refusal applies to.
+func refusalOf(t *attemptResult) balance.Refusal {
+	switch t.reason() {
+	case proxy.ReasonOverloaded:
+		return balance.RefusedRank
+	case proxy.ReasonLinkBusy:
+		return balance.RefusedLink
+	}
+	return balance.RefusedAll
+}
+
 func (c *call) result(t *attemptResult) balance.Result {
-	r := balance.Result{Latency: t.elapsed, Work: c.work, NotRun: t.outcome() == retry.NotRun, Shed: t.reason() == proxy.ReasonShedByServer}
+	r := balance.Result{Latency: t.elapsed, Work: c.work, Rank: c.route.Rank, NotRun: t.outcome() == retry.NotRun, Shed: t.reason() == proxy.ReasonShedByServer}
 	if t.answer == nil {
 		r.Failed = c.body.Err() == nil
 		r.Unreachable = r.Failed && t.err != nil && !t.err.Canceled && !t.err.TimedOut
@@ -367,7 +386,7 @@
 	}
 	h := t.answer.Header
 	if serverUnavailable(t) {
-		r.RetryAfter = proxy.RetryAfterOf(h)
+		r.RetryAfter, r.Refused = proxy.RetryAfterOf(h), refusalOf(t)
 	}
 	r.Failed = t.status() >= http.StatusInternalServerError && (!r.NotRun || h.Get(proxy.HeaderReason) == proxy.ReasonConnectFailed)
 	r.Report = t.load
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -172,6 +172,7 @@
 	c.setAnswerHeaders(t)
 	n, err := proxy.Relay(c.w, c.r, t.answer)
 	c.countCrossRegionBytes(t, n)
+	c.proxy.cfg.Link.Add(time.Now(), n)
 	if c.proxy.cfg.CallSizes != nil {
 		c.proxy.cfg.CallSizes.Observe(c.route.ID, n+max(c.r.ContentLength, 0), time.Now())
 	}
--- a/internal/proxy/outbound/proxy.go
+++ b/internal/proxy/outbound/proxy.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/admission"
 	"github.com/goldcrestshed/goldcrestshed/internal/balance"
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
@@ -29,6 +30,7 @@
 	Latencies *retry.Latencies
 	CallSizes *balance.CallSizes // nil disables the estimate of a call's bytes
 	CallTimes *balance.CallTimes // nil counts all calls as equally long
+	Link      *admission.Link    // of the instance, which answers to callers share; nil for none
 }
 
 // Proxy takes calls from callers and sends them to the inbound proxy of a
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -48,6 +48,7 @@
 	"draining":       true,
 	"not_reported":   true,
 	"overloaded":     true,
+	"link_busy":      true,
 	"wrong_service":  true,
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,7 +20,7 @@
 	Log           Log           `json:"log" doc:"the platform's log"`
 	Platform      Platform      `json:"platform" doc:"the platform that is used instead of the log"`
 	Peers         Peers         `json:"peers" doc:"the inner protocol"`
-	Network       Network       `json:"network" doc:"cost of traffic between failure domains"`
+	Network       Network       `json:"network" doc:"rate of the link and cost of traffic between failure domains"`
 	Logging       Logging       `json:"logging" doc:"log lines on standard output"`
 	Drain         Drain         `json:"drain" doc:"graceful shutdown"`
 }
@@ -73,9 +73,10 @@
 	Seeds []string `json:"seeds" doc:"inner protocol addresses to try when the log does not answer, ip:port"`
 }
 
-// Network holds the costs of traffic to other failure domains and regions, as
-// delays.
+// Network holds the rate of the instance's link and the costs of traffic to other
+// failure domains and regions, as delays.
 type Network struct {
+	LinkMbps       float64        `json:"linkMbps" default:"0" min:"0" max:"1000000" doc:"rate of the instance's link in Mbit/s, within which large answers are admitted; 0 sets no limit"`
 	DomainByteCost jsonc.Duration `json:"domainByteCost" default:"0s" min:"0s" max:"10s" doc:"delay that counts as much as sending 1 KB to another failure domain of the region"`
 	RegionByteCost jsonc.Duration `json:"regionByteCost" default:"0s" min:"0s" max:"10s" doc:"delay that counts as much as sending 1 KB to another region"`
 }
