Mend eight of the faults that were found by reading

Cause and change, one by one: an answer cut over HTTP/1 was observed as ran, since the handler returns normally after the connection was reset; Abort now marks it. The kept beginning of a streamed body ended at the last whole read, so that one request had several fingerprints; it is always the first 64 KiB. A keyed call that its backend server shed was recorded as run; its claim is released. Keyed calls that arrive after the announcement of a shutdown are refused as others are. A configuration that was refused left the state machine ahead of the published state. Suspicions went back to their sender. A reload that changed the format of log lines said that it was applied. In a standing queue the newest call of another route could go first.

--- a/cmd/goldcrestd/reload.go
+++ b/cmd/goldcrestd/reload.go
@@ -63,11 +63,16 @@
 	}
 	sections := changedSections(current, next)
 	level.Set(telemetry.Level(next.Logging))
-	onlyLogging := len(sections) == 0 || len(sections) == 1 && sections[0] == "Logging"
-	logger.Info("settings_reloaded", "sections", sections, "applied", onlyLogging)
+	logger.Info("settings_reloaded", "sections", sections, "applied", onlyLevelChanged(current, next))
 	return next
 }
 
+// onlyLevelChanged reports whether all changes have taken effect.
+func onlyLevelChanged(current, next settings.Settings) bool {
+	current.Logging.Level = next.Logging.Level
+	return len(changedSections(current, next)) == 0
+}
+
 // changedSections returns the names of the sections in which a and b differ.
 func changedSections(a, b settings.Settings) []string {
 	var names []string
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -107,6 +107,23 @@
 	}
 }
 
+// Guards against a call of another route that is served in place of an urgent one
+// of equal rank, because it is the newest in the queue.
+func TestNewestOfTheSameRouteGoesFirst(t *testing.T) {
+	ctrl := NewController(Config{Slots: 1, Queue: 10})
+	running, _ := acquire(ctrl, 0, Request{Route: "urgent"})
+	request := func(route string, at, objective time.Duration) Request {
+		return Request{Route: route, Objective: after(at + objective), Deadline: after(at + time.Second)}
+	}
+	oldest, _ := acquire(ctrl, 0, request("urgent", 0, 200*ms))
+	newest, _ := acquire(ctrl, 50*ms, request("urgent", 50*ms, 200*ms))
+	patient, _ := acquire(ctrl, 60*ms, request("patient", 60*ms, 400*ms))
+	running.Release(after(120*ms), ms, true)
+	assert.Equal(t, verdictOf(newest), Admitted)
+	assert.Equal(t, verdictOf(oldest), Queued)
+	assert.Equal(t, verdictOf(patient), Queued)
+}
+
 // Guards early shedding: a queued call is refused as soon as it can no longer
 // complete by its deadline, and one that never could is not queued at all.
 func TestShedsCallsThatMissTheirDeadline(t *testing.T) {
--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -29,9 +29,9 @@
 	return now.Sub(t.arrived) > t.limit(now).Sub(now)
 }
 
-// sameTurn reports whether only the time decides between two calls.
+// sameTurn reports whether two calls are alike but for their time of arrival.
 func (t *Ticket) sameTurn(o *Ticket, now time.Time) bool {
-	return t.priority == o.priority && t.class == o.class && t.rank == o.rank && t.inTime(now) == o.inTime(now)
+	return t.priority == o.priority && t.route == o.route && t.inTime(now) == o.inTime(now)
 }
 
 // before reports whether a call is served before another one. Among calls of
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -50,9 +50,9 @@
 }
 
 // next returns the next ticket among those that eligible accepts, or nil. When
-// not every call can be served in time, the newest of the rank goes first if the
-// one with the earliest limit is near it: serving that one first would bring
-// every call close to its limit.
+// not every call can be served in time, the newest call of the route whose turn it
+// is goes first if the one with the earliest limit is near it: serving that one
+// first would bring every call close to its limit.
 func (q *queue) next(now time.Time, eligible func(*Ticket) bool) *Ticket {
 	standing := q.standing(now)
 	var first, newest *Ticket
--- a/internal/distribution/builder.go
+++ b/internal/distribution/builder.go
@@ -24,9 +24,13 @@
 	case <-ctx.Done():
 		return nil
 	}
-	for number := uint64(1); ctx.Err() == nil; number++ {
+	// Numbers of refused snapshots are used again: with gaps of several numbers, an
+	// installation would drop the published snapshot before it publishes the next.
+	for number := uint64(1); ctx.Err() == nil; {
 		changed := a.replica.changed.next()
-		a.buildOne(number)
+		if a.buildOne(number) {
+			number++
+		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
@@ -37,19 +41,21 @@
 	return nil
 }
 
-func (a *Agent) buildOne(number uint64) {
+// buildOne builds and installs a snapshot and reports whether it was installed.
+func (a *Agent) buildOne(number uint64) bool {
 	s := a.State()
 	if s == nil {
-		return
+		return false
 	}
 	g, found := snapshot.Build(number, *s, a.Table.All())
 	if len(found) > 0 {
 		a.Logger.Error("generation_refused", "position", s.Position.String(), "findings", found.Error())
-		return
+		return false
 	}
 	a.Snapshots.Install(g)
 	a.installed.notify()
 	a.Logger.Info("generation_installed", "generation", g.Generation, "position", g.Position.String(), "routes", len(g.Routes), "held_back", len(g.HeldBack))
+	return true
 }
 
 // InstalledPosition returns the position of the installed snapshot and a
--- a/internal/distribution/gossip.go
+++ b/internal/distribution/gossip.go
@@ -29,11 +29,19 @@
 // queuedChange is a change queued for the next batch. Of several entries of one
 // member, or suspicions of it by one reporter, only the newest is kept.
 type queuedChange struct {
-	from      string // of a received entry: ids of the nodes that sent it, each preceded by a zero byte
+	from      string // ids of the nodes that sent it, each preceded by a zero byte
 	entry     *membership.Member
 	suspicion *membership.Suspicion
 }
 
+// sentBy reports whether a node sent the change.
+func sentBy(from, id string) bool { return strings.Contains(from+"\x00", "\x00"+id+"\x00") }
+
+// Keys of the outbox; those of entries come first.
+func entryKey(id string) string { return "entry\x00" + id }
+
+func suspicionKey(s membership.Suspicion) string { return "suspicion\x00" + s.ID + "\x00" + s.By }
+
 // Members merges entries and suspicions from another node.
 func (a *Agent) Members(m peer.MemberEntries) {
 	a.merge(m.SenderID, m.Entries)
@@ -61,7 +69,7 @@
 	}
 	changed := a.Table.Merge(others)
 	for _, e := range changed {
-		a.enqueue("entry\x00"+e.ID, queuedChange{from: "\x00" + from, entry: &e})
+		a.enqueue(entryKey(e.ID), queuedChange{from: "\x00" + from, entry: &e})
 	}
 	for _, e := range others {
 		a.recordSender(from, e)
@@ -116,11 +124,11 @@
 }
 
 func (a *Agent) queueSuspicion(s membership.Suspicion, from string) {
-	a.enqueue("suspicion\x00"+s.ID+"\x00"+s.By, queuedChange{from: from, suspicion: &s})
+	a.enqueue(suspicionKey(s), queuedChange{from: "\x00" + from, suspicion: &s})
 }
 
 func (a *Agent) queueSelf(self membership.Member) {
-	a.enqueue("entry\x00"+self.ID, queuedChange{from: self.ID, entry: &self})
+	a.enqueue(entryKey(self.ID), queuedChange{from: self.ID, entry: &self})
 	a.tableChanged()
 }
 
@@ -167,7 +175,7 @@
 }
 
 // takeBatch removes up to gossipBatchSize changes from the queue. The map holds,
-// by member id, the nodes that sent the entry.
+// by key, the nodes that sent the change.
 func (a *Agent) takeBatch() (peer.MemberEntries, map[string]string) {
 	batch, sources := peer.MemberEntries{SenderID: a.Self.ID}, map[string]string{}
 	keys := a.queuedKeys()
@@ -177,9 +185,9 @@
 			change = have
 			return have, false
 		})
+		sources[key] = change.from
 		if change.entry != nil {
 			batch.Entries = append(batch.Entries, *change.entry)
-			sources[change.entry.ID] = change.from
 		} else if change.suspicion != nil {
 			batch.Suspicions = append(batch.Suspicions, *change.suspicion)
 		}
@@ -202,7 +210,7 @@
 // recordSender records that another node sent the same queued entry, so that it
 // is not sent back to that node.
 func (a *Agent) recordSender(from string, e membership.Member) {
-	a.outbox.Update("entry\x00"+e.ID, func(queued queuedChange, ok bool) (queuedChange, bool) {
+	a.outbox.Update(entryKey(e.ID), func(queued queuedChange, ok bool) (queuedChange, bool) {
 		if ok && queued.entry != nil && *queued.entry == e {
 			queued.from += "\x00" + from
 		}
@@ -216,14 +224,16 @@
 	return slices.Concat(t.Neighbours, t.Bridges)
 }
 
-// sendBatch sends a batch to every linked node, without the entries that came
-// from that node, and returns the approximate number of bytes. It does not wait
+// sendBatch sends a batch to every linked node, without what came from that node, and returns the approximate number of bytes. It does not wait
 // until they are sent.
 func (a *Agent) sendBatch(ctx context.Context, batch peer.MemberEntries, sources map[string]string) (bytes int) {
 	for _, m := range a.linkedNodes() {
 		selected := batch
 		selected.Entries = slices.DeleteFunc(slices.Clone(batch.Entries), func(e membership.Member) bool {
-			return strings.Contains(sources[e.ID]+"\x00", "\x00"+m.ID+"\x00")
+			return sentBy(sources[entryKey(e.ID)], m.ID)
+		})
+		selected.Suspicions = slices.DeleteFunc(slices.Clone(batch.Suspicions), func(s membership.Suspicion) bool {
+			return s.By == m.ID || sentBy(sources[suspicionKey(s)], m.ID)
 		})
 		if len(selected.Entries)+len(selected.Suspicions) == 0 {
 			continue
--- a/internal/distribution/replica.go
+++ b/internal/distribution/replica.go
@@ -129,7 +129,6 @@
 	if have != nil && s.Position.Compare(have.position()) <= 0 {
 		return nil // a node that lags behind must not move this one back
 	}
-	r.machine = profile.NewStateMachineFrom(s)
 	next := &published{Replicated: s, Effective: s, LastRecordID: full.LastRecordID, CheckpointTime: full.CheckpointTime, MaxFirstOffset: full.MaxFirstOffset, RingStart: s.Position.Offset}
 	next.FromSource = checkpoint.FromSource
 	if checkpoint.FromSource {
@@ -137,8 +136,10 @@
 			r.logger.Error("state_refused", "position", s.Position.String(), "error", err)
 			return nil
 		}
+		r.machine = profile.NewStateMachineFrom(s)
 		return next
 	}
+	r.machine = profile.NewStateMachineFrom(s)
 	if have != nil {
 		next.Effective = profile.Merge(s, have.Effective)
 	}
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -105,9 +105,8 @@
 	}
 }
 
-// Prefix returns the kept beginning of the body, at most maxKeptBytes. A read from
-// the caller that would exceed them is not kept, so the length depends on how the
-// body arrives.
+// Prefix returns the kept beginning of the body: the first maxKeptBytes, or what
+// has arrived of them.
 func (b *Body) Prefix() []byte {
 	if b == nil {
 		return nil
@@ -177,11 +176,12 @@
 		n, err = 0, errBodyTooLarge
 	}
 	b.end = err
-	if b.owner == nil && len(b.kept)+n <= maxKeptBytes {
-		b.kept = append(b.kept, buf[:n]...)
-	} else {
-		b.unkept = buf[:n]
+	fits := 0
+	if b.owner == nil {
+		fits = min(n, maxKeptBytes-len(b.kept))
 	}
+	b.kept = append(b.kept, buf[:fits]...)
+	b.unkept = buf[fits:n]
 	b.reading = false
 	close(b.changed)
 	b.changed = make(chan struct{})
--- a/internal/proxy/inbound/keyed.go
+++ b/internal/proxy/inbound/keyed.go
@@ -85,7 +85,7 @@
 // disconnects, since the outcome is kept for repeats.
 func (c *call) runClaim(run *idempotency.Run) {
 	c.ctx = context.WithoutCancel(c.ctx)
-	if f := c.proxy.sendRefusal(time.Now()); f != nil {
+	if f := c.proxy.arrivalRefusal(c.started); f != nil {
 		c.releaseClaim(run, f)
 		return
 	}
@@ -101,6 +101,11 @@
 		return
 	}
 	defer a.Close()
+	if c.proxy.cfg.Dialect.ReportsNotRun(a) {
+		s.release(false)
+		c.releaseClaim(run, c.shedFailure(a))
+		return
+	}
 	c.relayAndKeep(run, s, a)
 }
 
--- a/internal/proxy/inbound/serverstate.go
+++ b/internal/proxy/inbound/serverstate.go
@@ -51,9 +51,9 @@
 	return nil
 }
 
-// arrivalRefusal returns why an unkeyed call that has just arrived is not passed
-// to the backend server, or nil. Only keyed calls and calls that already wait for
-// a slot get shutdownGrace.
+// arrivalRefusal returns why a call that has just arrived is not passed to the
+// backend server, or nil. Only calls that already wait for a slot get
+// shutdownGrace.
 func (p *Proxy) arrivalRefusal(now time.Time) *proxy.Failure {
 	if state := p.serverState.Load(); state != nil && !state.ShutdownAnnounced.IsZero() {
 		return drainingFailure()
--- a/internal/proxy/observe.go
+++ b/internal/proxy/observe.go
@@ -8,7 +8,7 @@
 // Observation describes one call as its caller saw it.
 type Observation struct {
 	Route   string  // id of the route; empty when none matched
-	Outcome Outcome // empty when the handler panicked, as Abort does for HTTP/2
+	Outcome Outcome // empty when the answer was cut, see Abort, or the handler panicked
 	Reason  string  // HeaderReason of the answer
 	Status  int     // 0 when no final answer was begun by WriteHeader
 	Elapsed time.Duration
@@ -22,7 +22,7 @@
 		completed := false
 		defer func() {
 			observation := Observation{Route: o.route, Status: o.status, Elapsed: time.Since(begun)}
-			if completed {
+			if completed && !o.aborted {
 				observation.Outcome = Outcome(w.Header().Get(HeaderOutcome))
 				observation.Reason = w.Header().Get(HeaderReason)
 			}
@@ -36,8 +36,24 @@
 // observedWriter records the route of a call and the status of its answer.
 type observedWriter struct {
 	http.ResponseWriter
-	route  string
-	status int
+	route   string
+	status  int
+	aborted bool
+}
+
+// markAborted records for the Observation of a call that its answer was cut.
+func markAborted(w http.ResponseWriter) {
+	for {
+		if o, ok := w.(*observedWriter); ok {
+			o.aborted = true
+			return
+		}
+		inner, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return
+		}
+		w = inner.Unwrap()
+	}
 }
 
 // SetRoute sets the route of a call for its Observation.
--- a/internal/proxy/path/idempotency_test.go
+++ b/internal/proxy/path/idempotency_test.go
@@ -36,7 +36,7 @@
 	coordinator *idempotency.Coordinator
 }
 
-func newClaimTestbed(t *testing.T, ids string, handler func(string) http.Handler) *claimTestbed {
+func newClaimTestbed(t *testing.T, ids string, handler func(string) http.Handler, edits ...func(*inbound.Config)) *claimTestbed {
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	tb := &claimTestbed{stop: stop, liveNodes: map[string]context.CancelFunc{}}
@@ -49,6 +49,9 @@
 		})
 		claims[id].coordinator = cfg.Coordinator
 		cfg.InboundAddressOf = tb.inboundAddressOf
+		for _, edit := range edits {
+			edit(cfg)
+		}
 	}})
 	tb.log = standin.NewLog(time.Hour, time.Now)
 	tb.serve("log", &http.Server{Handler: tb.log.Handler()})
@@ -232,3 +235,30 @@
 		tb.stop()
 	})
 }
+
+// TestShedKeyedCallMayBeRetried guards against a keyed call that its backend
+// server did not run and whose key says that it ran.
+func TestShedKeyedCallMayBeRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var calls atomic.Int64
+		dialect := proxy.Dialect{NotExecuted: "X-Not-Executed"}
+		tb := newClaimTestbed(t, "a", func(string) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if calls.Add(1) == 1 {
+					w.Header().Set(dialect.NotExecuted, "full")
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				_, _ = io.WriteString(w, "booked")
+			})
+		}, func(cfg *inbound.Config) { cfg.Dialect = dialect })
+		defer tb.stop()
+		key := newIdempotencyKey()
+		for range 2 { // the first is sent again by the outbound proxy, the second gets the kept answer
+			got := tb.callWithKey(key)
+			assert.Equal(t, got.status, http.StatusOK, got.body)
+			assert.Equal(t, got.body, "booked")
+		}
+		assert.Equal(t, calls.Load(), int64(2))
+	})
+}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -175,6 +175,7 @@
 // for a complete one. HTTP/1 connections are reset, since some bodies end with
 // the connection.
 func Abort(w http.ResponseWriter, r *http.Request) {
+	markAborted(w)
 	if r.ProtoMajor != 1 {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -104,7 +104,7 @@
 	{"call_cut", "warn", "an answer could not be forwarded completely; fields call, route, service, tries, refusals, elapsed_ms, error"},
 	{"call_turned_away", "info", "the inbound proxy answered a call with a failure of its own; fields call, route, reason, outcome, in_use, queued, slots, wait_ms, left_ms, patience_ms"},
 	{"attempt_failed", "info", "an attempt of a call failed or was refused; fields call, server, reason, outcome, elapsed_ms, rule, verdict"},
-	{"settings_reloaded", "info", "the settings file changed; field sections names the changed ones, field applied says whether only the logging section changed, whose level takes effect without a restart"},
+	{"settings_reloaded", "info", "the settings file changed; field sections names the changed ones, field applied says whether only the level of log lines changed, which takes effect without a restart"},
 	{"settings_refused", "warn", "the changed settings file cannot be read or is invalid; the node keeps its settings"},
 	{"drain_started", "info", "the node starts to drain; field limit is the longest wait for calls in flight"},
 	{"drain_cut", "warn", "calls in flight were cut at the drain limit"},
