--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -112,9 +112,12 @@
 func (m Member) departed() bool { return m.Status == StatusDead || m.Status == StatusLeft }
 
 func (m Member) digest() uint64 {
-	text := m.ID + "\x00" + strconv.FormatInt(m.Incarnation, 36) + "\x00" +
-		strconv.FormatUint(m.Sequence, 36) + "\x00" + string(m.Status)
-	return xxhash.Sum64String(text)
+	var buffer [128]byte // on the stack: the digest is computed each second
+	text := append(buffer[:0], m.ID...)
+	text = strconv.AppendInt(append(text, 0), m.Incarnation, 36)
+	text = strconv.AppendUint(append(text, 0), m.Sequence, 36)
+	text = append(append(text, 0), m.Status...)
+	return xxhash.Sum64(text)
 }
 
 // Compact drops entries that have been dead or left for departedRetention and
--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -127,6 +127,10 @@
 	if f := c.proxy.sendRefusal(time.Now()); f != nil {
 		return nil, &proxy.SendError{Cause: errors.Mark(errors.New(f.Message), errNotTakingCalls)}
 	}
+	if !time.Now().Before(c.deadline) {
+		// The process may have been paused after the call got its slot.
+		return nil, &proxy.SendError{Cause: errors.Mark(errors.New("the call's deadline has passed"), errExpired)}
+	}
 	a, err := c.send(fresh)
 	if err == nil && !c.proxy.cfg.Dialect.Matches(c.r, a) {
 		a.Close()
@@ -219,6 +223,9 @@
 	if errors.Is(err, errNotTakingCalls) {
 		return cmp.Or(c.proxy.sendRefusal(time.Now()), drainingFailure())
 	}
+	if errors.Is(err, errExpired) && !err.Sent {
+		return admissionFailure(admission.Decision{Reason: admission.ReasonDeadline})
+	}
 	f := proxy.FailureOf(err, c.body)
 	if err.ConnectFailed() {
 		f = f.WithRetryAfter(downRetryAfter)
--- a/internal/proxy/inbound/serverstate.go
+++ b/internal/proxy/inbound/serverstate.go
@@ -24,6 +24,9 @@
 // server takes no calls at present.
 var errNotTakingCalls = errors.New("the backend server takes no calls")
 
+// errExpired marks a call that was not passed on because its deadline had passed.
+var errExpired = errors.New("the deadline has passed")
+
 // SetServerState stores the state that the backend server reported. With
 // Config.Reported set, no call is passed on before the first report.
 func (p *Proxy) SetServerState(s ServerState) { p.serverState.Store(&s) }
