Keep one significant digit in the latency histograms

Cause: each route took 60 KB a histogram, and as much was copied for each percentile, four times a second.

--- a/internal/retry/latency.go
+++ b/internal/retry/latency.go
@@ -13,11 +13,12 @@
 	routes *shard.Map[*routeLatency]
 }
 
-// Configuration of the histograms: 1 us to 1 min in microseconds with two
-// significant digits, about 60 KB per route.
+// Configuration of the histograms: 1 us to 1 min in microseconds with one
+// significant digit, a few KB per route. A second digit would take 60 KB per route
+// and copy as much for each percentile; a hedge does not need it.
 const (
 	histogramMax    = time.Minute
-	histogramDigits = 2
+	histogramDigits = 1
 	windowParts     = 2
 )
 
