Keep large answers in their region while it has servers, and wait longer for a connection

Change: a large call leaves its region only when no server there takes calls; a connection to a node may take 300 ms.

--- a/internal/balance/objective_test.go
+++ b/internal/balance/objective_test.go
@@ -126,3 +126,23 @@
 		assert.Assert(t, shares(t, b, warm.Add(time.Second), r)["s0"] > 0, c.name)
 	}
 }
+
+// Guards against large answers that cross the link between regions because the
+// servers of the own region are full; they do when it has none.
+func TestLargeCallsStayInTheirRegion(t *testing.T) {
+	b := newTestBalancer()
+	full := Result{NotRun: true, RetryAfter: time.Second, Refused: RefusedLink}
+	r := Request{Service: service("west/w1", "west/w2", "east/e1"), Bytes: LargeCallBytes}
+	b.Ejected(start, r.Service)
+	answer(b, "s0", warm, full)
+	answer(b, "s1", warm, full)
+	assert.Equal(t, shares(t, b, warm, r)["s2"], 0.0)
+	small := r
+	small.Bytes = 1000
+	answer(b, "s0", warm, Result{NotRun: true, RetryAfter: time.Second, Refused: RefusedRank})
+	answer(b, "s1", warm, Result{NotRun: true, RetryAfter: time.Second, Refused: RefusedRank})
+	assert.Equal(t, shares(t, b, warm, small)["s2"], 1.0)
+	answer(b, "s0", warm, unreachable)
+	answer(b, "s1", warm, unreachable)
+	assert.Equal(t, shares(t, b, warm, r)["s2"], 1.0)
+}
--- a/internal/balance/selection.go
+++ b/internal/balance/selection.go
@@ -128,7 +128,7 @@
 func (s *selection) best(avoided bool) (Choice, bool) {
 	var best option
 	for t := TierDomain; t < tierCount; t++ {
-		if t == TierCrossRegion && !s.crossRegion {
+		if t == TierCrossRegion && (!s.crossRegion || s.staysInRegion()) {
 			continue
 		}
 		if best.inTime {
@@ -146,6 +146,24 @@
 	return best.Choice, best.Endpoint != nil
 }
 
+// staysInRegion reports whether the call is too large for the link between regions
+// while its own region has servers that take calls: a link that all nodes share
+// must not carry what a full server here refuses.
+func (s *selection) staysInRegion() bool {
+	if s.request.Bytes < LargeCallBytes {
+		return false
+	}
+	for _, t := range []Tier{TierDomain, TierRegion} {
+		tier := s.tier(t)
+		for i := range tier {
+			if !tier[i].removed && !s.now.Before(tier[i].server.avoidUntil) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // eligible returns the candidates of a tier that may be chosen; avoided includes
 // those that are avoided.
 func (s *selection) eligible(t Tier, avoided bool) []*candidate {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -93,9 +93,10 @@
 	backendIdleTimeout = 6 * time.Second
 	// unackedTimeout is about twice the longest round trip with one lost packet.
 	unackedTimeout = 500 * time.Millisecond
-	// nodeConnectTimeout is several round trips between regions. A host that
-	// lost power does not even refuse connections.
-	nodeConnectTimeout = 120 * time.Millisecond
+	// nodeConnectTimeout is many round trips between regions: a node without
+	// processor time accepts connections late, and taking it for dead shifts its
+	// load to the others. A host that lost power does not even refuse connections.
+	nodeConnectTimeout = 300 * time.Millisecond
 	// backendFreshAfter is the longest idle time of a connection that a call
 	// which must not be sent twice reuses; the backend server may be about to
 	// close an older one.
