--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -29,9 +29,13 @@
 	return now.Sub(t.arrived) > t.limit(now).Sub(now)
 }
 
-// sameTurn reports whether two calls are alike but for their time of arrival.
+// sameTurn reports whether two calls are alike but for their time of arrival. Calls
+// with objectives must be of one route, since the objectives of others differ.
 func (t *Ticket) sameTurn(o *Ticket, now time.Time) bool {
-	return t.priority == o.priority && t.route == o.route && t.inTime(now) == o.inTime(now)
+	if t.hasObjective && t.route != o.route {
+		return false
+	}
+	return t.priority == o.priority && t.class == o.class && t.rank == o.rank && t.inTime(now) == o.inTime(now)
 }
 
 // before reports whether a call is served before another one. Among calls of
