--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -192,107 +192,6 @@
 	return c.refusalLocked(now, ReasonOverloaded), true
 }
 
-// exceedsMaxWaitLocked reports whether a call would wait longer than it accepts.
-// It is then refused at once, while there is time to try another server.
-func (c *Controller) exceedsMaxWaitLocked(now time.Time, t *Ticket, maxWait time.Duration) bool {
-	if maxWait <= 0 || c.mayRunLocked(now, t.priority, t.class) {
-		return false
-	}
-	return c.waitOfLocked(now, t) > maxWait
-}
-
-// patienceShare is the part of the time until a call's limit that it may be
-// expected to wait. The rest absorbs the error of the estimate and calls of a
-// higher rank that arrive later.
-const patienceShare = 0.5
-
-// startsTooLateLocked reports whether a call with an objective would wait too
-// long in a standing queue to be in time. It is refused at once, while there is
-// time to try another server or to come back, rather than held for nothing.
-func (c *Controller) startsTooLateLocked(now time.Time, t *Ticket) bool {
-	if !t.hasObjective || !c.queue.standing(now) || c.mayRunLocked(now, t.priority, t.class) {
-		return false
-	}
-	patience := time.Duration(patienceShare * float64(t.limit(now).Sub(now)))
-	return c.waitOfLocked(now, t) > patience
-}
-
-// linkWaitLocked estimates how long the answer of a call waits for the link, 0 for
-// a short one.
-func (c *Controller) linkWaitLocked(now time.Time, t *Ticket) time.Duration {
-	if t.bytes == 0 {
-		return 0
-	}
-	return c.cfg.Link.Wait(now)
-}
-
-// linkPatience returns how long the answer of a call may wait for the link.
-func (c *Controller) linkPatience(now time.Time, t *Ticket, maxWait time.Duration) time.Duration {
-	patience := time.Duration(patienceShare * float64(t.limit(now).Sub(now)))
-	if maxWait > 0 {
-		return min(patience, maxWait)
-	}
-	return patience
-}
-
-// makeRoomLocked reports whether a call may run or be queued, and sheds another
-// call for it if need be. A caller's call displaces the oldest queued background
-// call, as does a background call in a standing queue. If there is none, a
-// caller's call preempts the running background calls. A call then displaces one
-// that is worth less, see displacedLocked. Otherwise the newest is refused at
-// once, while there is time to try another server.
-func (c *Controller) makeRoomLocked(now time.Time, t *Ticket) bool {
-	if c.queue.size() < c.cfg.Queue || c.mayRunLocked(now, t.priority, t.class) {
-		return true
-	}
-	if victim := c.queue.oldest(Background); victim != nil {
-		if t.priority == Background && !c.queue.standing(now) {
-			return false
-		}
-		c.shedLocked(now, victim, ReasonOverloaded)
-		return true
-	}
-	if t.priority == Background || c.cfg.Queue == 0 {
-		return false
-	}
-	c.preemptLocked()
-	if c.queue.size() < c.queueLimitLocked() {
-		return true
-	}
-	victim := c.displacedLocked(now, t)
-	if victim == nil {
-		return false
-	}
-	c.shedLocked(now, victim, ReasonOverloaded)
-	return true
-}
-
-// displacedLocked returns the waiting call that is shed for a new one when the
-// queue is full, or nil: the last in order if it is of a lower rank or has missed
-// its objective while the new one has not. In a standing queue whose oldest call
-// is near its deadline it is the oldest, which is the likeliest to miss it.
-func (c *Controller) displacedLocked(now time.Time, t *Ticket) *Ticket {
-	last := c.queue.last(now)
-	if last.rank > t.rank && t.inTime(now) || t.inTime(now) && !last.inTime(now) {
-		return last
-	}
-	oldest := c.queue.oldest(Caller)
-	if c.queue.standing(now) && oldest.rank >= t.rank && oldest.nearLimit(now) {
-		return oldest
-	}
-	return nil
-}
-
-// queueLimitLocked returns the maximum length of the queue for callers. It is
-// higher while background calls hold slots, since no caller's call may be shed
-// before background calls.
-func (c *Controller) queueLimitLocked() int {
-	if c.backgroundInUse() > 0 {
-		return preemptionQueueFactor * c.cfg.Queue
-	}
-	return c.cfg.Queue
-}
-
 // Tick sheds queued calls that can no longer meet their deadline and opens the
 // slots of a cold start. It must be called about every 10 ms while calls wait,
 // see Waiting.
@@ -346,44 +245,6 @@
 	return false
 }
 
-// expireLocked sheds the waiting calls that can no longer meet their deadline.
-func (c *Controller) expireLocked(now time.Time) {
-	for _, p := range shedOrder {
-		for _, t := range c.queue.expired(p, now) {
-			c.shedLocked(now, t, ReasonOverloaded)
-		}
-	}
-}
-
-// hopelessFactor reduces the estimate of the wait before a queued call is shed
-// for it, since the estimate is rough and a shed call may not come back.
-const hopelessFactor = 0.7
-
-// shedHopelessLocked sheds the waiting calls with an objective whose turn comes
-// after their latest start, so that their callers learn it at once.
-func (c *Controller) shedHopelessLocked(now time.Time) {
-	interval := time.Duration(hopelessFactor * float64(c.slotIntervalLocked(now)))
-	for _, t := range c.queue.hopeless(now, interval) {
-		c.shedLocked(now, t, ReasonOverloaded)
-	}
-}
-
-// shedLocked removes a waiting call from the queue and refuses it.
-func (c *Controller) shedLocked(now time.Time, t *Ticket, reason Reason) {
-	c.queue.remove(t)
-	c.cfg.Link.Add(now, -t.bytes)
-	t.state = stateDone
-	c.recordShedLocked(now, t)
-	t.ready <- c.refusalLocked(now, reason)
-}
-
-func (c *Controller) recordShedLocked(now time.Time, t *Ticket) {
-	if t.priority == Caller {
-		c.pressure.lastShed = now
-		c.preemptLocked()
-	}
-}
-
 // refusalLocked returns a refusal. Its retry-after is the expected time until the
 // calls queued now are served, or drainRetryAfter; at least minRetryAfter.
 func (c *Controller) refusalLocked(now time.Time, reason Reason) Decision {
@@ -397,31 +258,6 @@
 	return Decision{Verdict: Refused, Reason: reason, RetryAfter: max(after, minRetryAfter)}
 }
 
-// waitLocked estimates the time until the calls queued now are served.
-func (c *Controller) waitLocked(now time.Time) time.Duration {
-	return c.slotIntervalLocked(now) * time.Duration(c.queue.size())
-}
-
-// waitOfLocked estimates the wait of a new call: until a slot is free after those
-// that go before it. In a standing queue, calls of more urgent routes that arrive
-// later go before it too, so only the slots count that those leave.
-func (c *Controller) waitOfLocked(now time.Time, t *Ticket) time.Duration {
-	all, sameRoute := c.queue.ahead(t, now)
-	wait := c.slotIntervalLocked(now) * time.Duration(all+1)
-	if !c.queue.standing(now) || c.shares.starved()[t.route] {
-		return wait // it goes first if it is starved
-	}
-	slots := c.openSlotsLocked(now)
-	interval := time.Duration(float64(t.expected) / float64(slots) / c.shares.capacityLeft(t, slots, now))
-	return max(wait, interval*time.Duration(sameRoute+1))
-}
-
-// slotIntervalLocked is the mean time between two slots that become free while
-// all are in use.
-func (c *Controller) slotIntervalLocked(now time.Time) time.Duration {
-	return c.demand.meanTime() / time.Duration(c.openSlotsLocked(now))
-}
-
 // Report returns the load of the node's own backend server.
 func (c *Controller) Report(now time.Time) LoadReport {
 	c.mu.Lock()
