Write the answers of calls that ran ahead before a shutdown

Cause, by reading: net/http's server serves no further request on a connection once its shutdown has begun, so the answer to a call behind a long one was dropped although a backend server had run it.

Change: Server.Shutdown waits for the answers of calls that ran ahead; a draining node starts none. The pipeline's bytes are used by reads only and need no lock, so nothing is called out while the lock is held; each call that ran ahead ends its own context.

Test: TestShutdownWritesAnswersThatRanAhead (failed with the wait taken out).

--- a/internal/proxy/aheadcall.go
+++ b/internal/proxy/aheadcall.go
@@ -18,6 +18,7 @@
 type aheadCall struct {
 	ctx    context.Context
 	header http.Header // of the handler
+	leave  func()      // ends the call; may be called again
 
 	mu      sync.Mutex
 	changed *sync.Cond  // on mu
@@ -30,9 +31,16 @@
 
 // startAheadCall runs the handler for a request on a goroutine.
 func startAheadCall(ctx context.Context, s *Server, r *http.Request, conn net.Conn) *aheadCall {
+	ctx, cancel := context.WithCancel(ctx)
 	c := &aheadCall{ctx: ctx, header: http.Header{}}
 	c.changed = sync.NewCond(&c.mu)
 	r.RemoteAddr = conn.RemoteAddr().String()
+	s.ahead.Enter()
+	c.leave = sync.OnceFunc(func() {
+		cancel()
+		s.ahead.Leave()
+	})
+	context.AfterFunc(ctx, c.leave) // when the connection ends
 	go c.run(s, r.WithContext(ctx))
 	return c
 }
@@ -101,6 +109,7 @@
 
 // play writes the answer to the caller as it arrives.
 func (c *aheadCall) play(w http.ResponseWriter, r *http.Request) {
+	defer c.leave()
 	stop := context.AfterFunc(r.Context(), c.wake)
 	defer stop()
 	rc := http.NewResponseController(w)
--- a/internal/proxy/path/pipeline_test.go
+++ b/internal/proxy/path/pipeline_test.go
@@ -319,3 +319,28 @@
 		assert.DeepEqual(rt, want, got)
 	})
 }
+
+// TestShutdownWritesAnswersThatRanAhead guards against a shutdown that drops the
+// answer to a call behind a long one, which a backend server has run.
+func TestShutdownWritesAnswersThatRanAhead(t *testing.T) {
+	var started atomic.Int64
+	var server *proxy.Server
+	release := make(chan struct{})
+	address := startPipelinedServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started.Add(1)
+		if r.URL.Path == "/0" {
+			<-release
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	}), isGet, func(srv *proxy.Server) { server = srv })
+	conn, r := dialCaller(t, address)
+	_, err := io.WriteString(conn, getRequest("/0")+getRequest("/1"))
+	assert.NilError(t, err)
+	eventually(t, time.Second, "both run", func() bool { return started.Load() == 2 })
+	done := make(chan error, 1)
+	go func() { done <- server.Shutdown(t.Context()) }()
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	assert.DeepEqual(t, readAnswers(t, r, 2), []string{"/0", "/1"})
+	assert.NilError(t, <-done)
+}
--- a/internal/proxy/pipeline.go
+++ b/internal/proxy/pipeline.go
@@ -43,20 +43,21 @@
 	server  *Server
 	aborted chan struct{} // signals a read deadline in the past; capacity 1
 
+	cancelAll context.CancelFunc
+	ctx       context.Context // of the calls that run ahead
+
 	// Used by reads only, of which there is one at a time.
 	passThrough bool
 	head        headScanner // of the request that is being passed on
+	ahead       []byte      // bytes read and not passed on yet
+	started     int         // bytes of ahead whose calls have started
+	stalled     bool        // the request after them must wait for its turn
 	failed      error       // ends the connection once set
 
-	mu        sync.Mutex
-	ahead     []byte       // guarded by mu; bytes read and not passed on yet
-	started   int          // guarded by mu; bytes of ahead whose calls have started
-	stalled   bool         // guarded by mu; the request after them must wait for its turn
-	calls     []*aheadCall // guarded by mu; the started calls in order
-	current   *aheadCall   // guarded by mu; the call of the request that was passed on last
-	closing   bool         // guarded by mu; the connection closes after the present answer
-	cancelAll context.CancelFunc
-	ctx       context.Context // of the calls that run ahead
+	mu      sync.Mutex
+	calls   []*aheadCall // guarded by mu; the started calls in order
+	current *aheadCall   // guarded by mu; the call of the request that was passed on last
+	closing bool         // guarded by mu; the connection closes after the present answer
 }
 
 func newPipeline(conn net.Conn, server *Server) *pipeline {
@@ -104,17 +105,13 @@
 
 // passOnAhead copies bytes that were read before, at most to the end of one head.
 func (p *pipeline) passOnAhead(b []byte) int {
-	p.mu.Lock()
 	n := copy(b, p.ahead)
-	p.mu.Unlock()
 	if n == 0 {
 		return 0
 	}
 	if !p.passThrough {
 		n = p.scan(b[:n])
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.ahead = p.ahead[n:]
 	if p.started = max(p.started-n, 0); len(p.ahead) == 0 {
 		p.ahead = nil
@@ -126,11 +123,7 @@
 // the rest.
 func (p *pipeline) passOn(b []byte) int {
 	n := p.scan(b)
-	if n < len(b) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.ahead = append(p.ahead, b[n:]...)
-	}
+	p.ahead = append(p.ahead, b[n:]...)
 	return n
 }
 
@@ -149,9 +142,10 @@
 		p.passThrough = true
 		return len(b)
 	}
+	p.stalled = false
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stalled, p.current = false, nil
+	p.current = nil
 	if len(p.calls) > 0 {
 		p.current, p.calls = p.calls[0], p.calls[1:]
 	}
@@ -165,18 +159,13 @@
 	defer watchBuffers.Put(buffer)
 	p.startCalls()
 	for {
-		p.mu.Lock()
-		full := len(p.ahead) >= maxAheadRequestBytes
-		p.mu.Unlock()
-		if full {
+		if len(p.ahead) >= maxAheadRequestBytes {
 			<-p.aborted
 			return os.ErrDeadlineExceeded
 		}
 		n, err := p.conn.Read(buffer[:])
 		if n > 0 {
-			p.mu.Lock()
 			p.ahead = append(p.ahead, buffer[:n]...)
-			p.mu.Unlock()
 			p.startCalls()
 		}
 		if err == nil {
@@ -209,9 +198,7 @@
 // startCalls starts the calls of the complete requests that were read and may run
 // ahead. The first one that may not stops this until it is passed on.
 func (p *pipeline) startCalls() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for !p.stalled && !p.closing && len(p.calls) < maxAheadCalls {
+	for !p.stalled {
 		var head headScanner
 		n := head.scan(p.ahead[p.started:])
 		if !head.complete {
@@ -222,11 +209,24 @@
 			p.stalled = true
 			return
 		}
+		if !p.start(request) {
+			return
+		}
 		p.started += n
-		p.calls = append(p.calls, startAheadCall(p.ctx, p.server, request, p.conn))
 	}
 }
 
+// start starts a call unless the connection is about to close or has enough.
+func (p *pipeline) start(r *http.Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closing || len(p.calls) >= maxAheadCalls {
+		return false
+	}
+	p.calls = append(p.calls, startAheadCall(p.ctx, p.server, r, p.conn))
+	return true
+}
+
 // takeCall returns the call of the request that was passed on last, or nil when it
 // did not run ahead.
 func (p *pipeline) takeCall() *aheadCall {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -1,12 +1,15 @@
 package proxy
 
 import (
+	"context"
 	"log"
 	"net"
 	"net/http"
 	"runtime/debug"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 )
 
@@ -38,11 +41,12 @@
 	Draining func() bool
 
 	calls http.Handler // without what concerns the connection
+	ahead *CallCount   // calls that run ahead and whose answers were not written yet
 }
 
 // NewServer returns a Server.
 func NewServer(h http.Handler) *Server {
-	srv := &Server{calls: h, Server: http.Server{
+	srv := &Server{calls: h, ahead: NewCallCount(), Server: http.Server{
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: netHTTPHeaderBytes, Protocols: &http.Protocols{}, ConnContext: withCallerConn, ConnState: updatePhase,
 	}}
@@ -57,6 +61,14 @@
 	return s.Server.Serve(callerListener{Listener: ln, server: s})
 }
 
+// Shutdown closes the server gracefully. net/http's server serves no further
+// request on a connection from then on, so it begins once the answers of the
+// calls that ran ahead are written. Draining keeps others from starting.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.ahead.Wait(ctx)
+	return errors.CombineErrors(s.Server.Shutdown(ctx), err)
+}
+
 // serveCall answers a call in its turn on the connection.
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
 	var p *pipeline
