--- a/internal/proxy/aheadcall.go
+++ b/internal/proxy/aheadcall.go
@@ -24,7 +24,7 @@
 	changed *sync.Cond  // on mu
 	status  int         // guarded by mu; 0 before the header of the answer
 	final   http.Header // guarded by mu; header as of WriteHeader
-	body    []byte      // guarded by mu; not played yet
+	body    []byte      // guarded by mu; not written yet
 	ended   bool        // guarded by mu; the handler has returned
 	broken  bool        // guarded by mu; the answer must not look complete
 }
@@ -107,8 +107,8 @@
 	return len(b), nil
 }
 
-// play writes the answer to the caller as it arrives.
-func (c *aheadCall) play(w http.ResponseWriter, r *http.Request) {
+// writeAnswer writes the answer to the caller as it arrives.
+func (c *aheadCall) writeAnswer(w http.ResponseWriter, r *http.Request) {
 	defer c.leave()
 	stop := context.AfterFunc(r.Context(), c.wake)
 	defer stop()
@@ -121,7 +121,7 @@
 		}
 		if !begun {
 			begun = true
-			c.playHeader(w)
+			c.writeAnswerHeader(w)
 		}
 		_ = rc.SetWriteDeadline(time.Now().Add(progressTimeout))
 		if _, err := w.Write(chunk); err != nil {
@@ -133,7 +133,7 @@
 		return
 	}
 	if !begun {
-		c.playHeader(w)
+		c.writeAnswerHeader(w)
 	}
 	maps.Copy(w.Header(), c.header) // trailers
 }
@@ -159,7 +159,7 @@
 	return c.broken || !c.ended
 }
 
-func (c *aheadCall) playHeader(w http.ResponseWriter) {
+func (c *aheadCall) writeAnswerHeader(w http.ResponseWriter) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.status == 0 {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -80,7 +80,7 @@
 	}
 	if p != nil {
 		if call := p.takeCall(); call != nil {
-			call.play(w, r)
+			call.writeAnswer(w, r)
 			return
 		}
 	}
