--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -1,8 +1,6 @@
 package admission
 
-import (
-	"time"
-)
+import "time"
 
 // makeRoomLocked reports whether a call may run or be queued, and sheds another
 // call for it if need be. A caller's call displaces the oldest queued background
--- a/internal/admission/wait.go
+++ b/internal/admission/wait.go
@@ -1,8 +1,6 @@
 package admission
 
-import (
-	"time"
-)
+import "time"
 
 // exceedsMaxWaitLocked reports whether a call would wait longer than it accepts.
 // It is then refused at once, while there is time to try another server.
--- a/internal/balance/avoidance.go
+++ b/internal/balance/avoidance.go
@@ -1,8 +1,6 @@
 package balance
 
-import (
-	"time"
-)
+import "time"
 
 // avoidLatencyFactor times the duration of a failed attempt is the least time for
 // which its server is avoided. A server that refuses at once is cheap to try
