--- a/internal/distribution/gossip.go
+++ b/internal/distribution/gossip.go
@@ -224,8 +224,9 @@
 	return slices.Concat(t.Neighbours, t.Bridges)
 }
 
-// sendBatch sends a batch to every linked node, without what came from that node, and returns the approximate number of bytes. It does not wait
-// until they are sent.
+// sendBatch sends a batch to every linked node, without what came from that node,
+// and returns the approximate number of bytes. It does not wait until they are
+// sent.
 func (a *Agent) sendBatch(ctx context.Context, batch peer.MemberEntries, sources map[string]string) (bytes int) {
 	for _, m := range a.linkedNodes() {
 		selected := batch
