Let a planned stop use the time that the platform gives

A drain takes 2.8 s until the listeners close, and the template limited the calls in flight to 3 s more, which fits a platform that waits for 6 s (grace_s). The large site waits for 10 s.

Change: setting drain.stopWithin, filled in by the template from the platform's grace; calls in flight get what is left of it but for 0.2 s. With a grace of 6 s the limit stays 3 s, so the other sites see no change.

--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -110,7 +110,8 @@
 		return nil
 	case <-n.draining:
 	}
-	n.logger.Info("drain_started", "limit", n.settings.Drain.Limit.D())
+	started := time.Now()
+	n.logger.Info("drain_started", "limit", n.settings.Drain.CallLimit(0))
 	if n.platform.Source != nil && !wait.For(ctx, inboundDrainDelay) {
 		return nil
 	}
@@ -124,7 +125,7 @@
 	if !wait.For(ctx, drainAnnouncePeriod) {
 		return nil
 	}
-	n.shutDownServers(ctx)
+	n.shutDownServers(ctx, n.settings.Drain.CallLimit(time.Since(started)))
 	if n.platform.Source == nil {
 		// On a platform there are no keyed calls, and a node may start again
 		// within seconds. Its neighbours then still contact it, which they
@@ -136,10 +137,10 @@
 	return nil
 }
 
-// shutDownServers waits for the calls in flight, up to the drain limit of the
-// settings, and closes the servers.
-func (n *Node) shutDownServers(ctx context.Context) {
-	if limit := n.settings.Drain.Limit.D(); limit > 0 {
+// shutDownServers waits for the calls in flight, up to a limit unless it is 0, and
+// closes the servers.
+func (n *Node) shutDownServers(ctx context.Context, limit time.Duration) {
+	if limit > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -89,7 +90,29 @@
 
 // Drain holds the settings of the graceful shutdown.
 type Drain struct {
-	Limit jsonc.Duration `json:"limit" default:"0s" min:"0s" max:"24h" doc:"time limit for calls in flight; 0s sets no limit"`
+	Limit      jsonc.Duration `json:"limit" default:"0s" min:"0s" max:"24h" doc:"time limit for calls in flight; 0s sets no limit"`
+	StopWithin jsonc.Duration `json:"stopWithin" default:"0s" min:"0s" max:"24h" doc:"time after which the platform ends a process that it asked to stop; calls in flight may use what is left of it; 0s sets no limit"`
+}
+
+const (
+	// stopReserve is the part of StopWithin that is kept for closing the servers.
+	stopReserve = 200 * time.Millisecond
+	// minCallLimit keeps a limit that has passed from meaning no limit.
+	minCallLimit = time.Millisecond
+)
+
+// CallLimit returns the time limit for calls in flight when an amount of time has
+// passed since the start of the drain; 0 sets none.
+func (d Drain) CallLimit(elapsed time.Duration) time.Duration {
+	limit := d.Limit.D()
+	if d.StopWithin <= 0 {
+		return limit
+	}
+	left := max(d.StopWithin.D()-stopReserve-elapsed, minCallLimit)
+	if limit <= 0 {
+		return left
+	}
+	return min(limit, left)
 }
 
 // Parse decodes and validates settings. The settings may be used only when there
