Show how old the configuration is that refused a call

The logs did not tell a node that waits for a reader from one whose reader does not notice that its poll is dead. A refusal for a missing route now carries config_age_ms, the time since the node last knew that its configuration was the newest one, and the gauge config_age_seconds shows it.

--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -89,8 +89,9 @@
 	stop          context.CancelFunc
 	peersSearched chan struct{} // closed once the node has searched for peers
 	searchOnce    sync.Once
-	tableFetched  atomic.Bool // a peer has sent its complete member table since the start
-	newestSource  atomic.Pointer[sourceView]
+	tableFetched  atomic.Bool                // a peer has sent its complete member table since the start
+	newestSource  atomic.Pointer[sourceView] // newest position of the log or source that the node knows of
+	verified      atomic.Pointer[sourceView] // when the node last knew that it held that position
 	ready         atomic.Bool
 	readyDone     chan struct{}
 	retention     atomic.Int64 // of the log, in ns; 0 until a reader has seen it
--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -46,6 +46,7 @@
 		changed := a.replica.changed.next()
 		if p, ok := a.Position(); ok && p != announced {
 			announced = p
+			a.updateVerified()
 			a.announce(ctx, p)
 		}
 		select {
--- a/internal/distribution/reader.go
+++ b/internal/distribution/reader.go
@@ -131,6 +131,7 @@
 	r.logID = b.LogID
 	if !r.verify {
 		r.submit(ctx, p, b.Entries)
+		r.recordLogEnd(b.Entries, time.Now())
 	}
 	return nil
 }
@@ -161,6 +162,14 @@
 	r.replica.submit(ctx, u)
 }
 
+// recordLogEnd records that the node's position is the end of the log, unless
+// there may be records after the ones that were read.
+func (a *Agent) recordLogEnd(read []platformlog.Entry, at time.Time) {
+	if p, ok := a.Position(); ok && len(read) < readBatch {
+		a.recordSourcePosition(p, at)
+	}
+}
+
 // handleReadError handles a read that failed with *RangeError, and returns other
 // errors.
 func (r *reader) handleReadError(ctx context.Context, p *published, err error) error {
--- a/internal/distribution/startsource.go
+++ b/internal/distribution/startsource.go
@@ -52,9 +52,10 @@
 	next := &sourceView{position: p, at: at}
 	for have := a.newestSource.Load(); next.newerThan(have); have = a.newestSource.Load() {
 		if a.newestSource.CompareAndSwap(have, next) {
-			return
+			break
 		}
 	}
+	a.updateVerified()
 }
 
 // recordSourceAge records the source age that a node reported with a position.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -32,6 +32,7 @@
 	set(telemetry.MetricDraining, boolGauge(status.Draining))
 	set(telemetry.MetricMembers, float64(status.Members))
 	set(telemetry.MetricRefusedEntries, float64(n.agent.RefusedEntries()))
+	set(telemetry.MetricConfigAge, n.configAgeSeconds())
 	n.updateCallGauges(set)
 	snap := n.snapshots.Latest()
 	if snap == nil {
@@ -58,6 +59,18 @@
 	set(telemetry.MetricPeerBytesOut, float64(bytes.Out))
 }
 
+// unknownConfigAge is the value of the gauge on a node that never knew its
+// configuration to be the newest one.
+const unknownConfigAge = -1
+
+func (n *Node) configAgeSeconds() float64 {
+	age, known := n.agent.ConfigAge()
+	if !known {
+		return unknownConfigAge
+	}
+	return age.Seconds()
+}
+
 func boolGauge(b bool) float64 {
 	if b {
 		return 1
--- a/internal/proxy/outbound/decisionlog.go
+++ b/internal/proxy/outbound/decisionlog.go
@@ -12,13 +12,31 @@
 
 // refuse answers a call that is not sent and logs the reason.
 func (p *Proxy) refuse(w http.ResponseWriter, r *http.Request, refusal *proxy.Failure, route string) {
-	p.cfg.Logger.LogAttrs(r.Context(), slog.LevelInfo, "call_refused",
+	attrs := []slog.Attr{
 		slog.String("call", p.callID(r)), slog.String("route", route), slog.String("host", r.Host), slog.String("path", r.URL.Path),
 		slog.Uint64("generation", p.cfg.Snapshots.Published()), slog.Int("status", refusal.Status),
-		slog.String("reason", refusal.Reason), slog.Int64("retry_after_ms", refusal.RetryAfter.Milliseconds()))
+		slog.String("reason", refusal.Reason), slog.Int64("retry_after_ms", refusal.RetryAfter.Milliseconds()),
+	}
+	if refusal.Reason == proxy.ReasonNoRoute {
+		attrs = append(attrs, p.configAgeAttrs()...)
+	}
+	p.cfg.Logger.LogAttrs(r.Context(), slog.LevelInfo, "call_refused", attrs...)
 	refusal.Write(w, &p.cfg.Dialect)
 }
 
+// configAgeAttrs returns the age of the configuration that decided a call: a
+// route may be missing because the node has not got a newer configuration yet.
+func (p *Proxy) configAgeAttrs() []slog.Attr {
+	if p.cfg.ConfigAge == nil {
+		return nil
+	}
+	age, known := p.cfg.ConfigAge()
+	if !known {
+		return nil
+	}
+	return []slog.Attr{slog.Int64("config_age_ms", age.Milliseconds())}
+}
+
 // callID returns the id that the caller gave the call, if the dialect has one.
 func (p *Proxy) callID(r *http.Request) string {
 	if p.cfg.Dialect.CallID == "" {
--- a/internal/proxy/outbound/proxy.go
+++ b/internal/proxy/outbound/proxy.go
@@ -31,6 +31,10 @@
 	CallSizes *balance.CallSizes // nil disables the estimate of a call's bytes
 	CallTimes *balance.CallTimes // nil counts all calls as equally long
 	Link      *admission.Link    // of the instance, which answers to callers share; nil for none
+
+	// ConfigAge returns how long ago the node last knew that its configuration
+	// was the newest one, for the log; nil if it is not known.
+	ConfigAge func() (time.Duration, bool)
 }
 
 // Proxy takes calls from callers and sends them to the inbound proxy of a
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -20,6 +20,7 @@
 	MetricGeneration     = "generation"
 	MetricPositionEpoch  = "position_era"
 	MetricPositionOffset = "position_offset"
+	MetricConfigAge      = "config_age_seconds"
 	MetricRoutes         = "routes"
 	MetricRoutesHeldBack = "routes_held_back"
 	MetricMembers        = "members"
@@ -43,6 +44,7 @@
 	{MetricGeneration, "gauge", "number", "sequence number of the configuration snapshot that calls use"},
 	{MetricPositionEpoch, "gauge", "number", "epoch of the configuration in force"},
 	{MetricPositionOffset, "gauge", "offset", "log offset of the configuration in force"},
+	{MetricConfigAge, "gauge", "seconds", "time since the node last knew that its configuration was the newest one of the log or store; -1 if it never knew"},
 	{MetricRoutes, "gauge", "routes", "routes in force"},
 	{MetricRoutesHeldBack, "gauge", "routes", "routes whose service has no backend server here"},
 	{MetricMembers, "gauge", "nodes", "nodes that new calls may be sent to"},
@@ -98,7 +100,7 @@
 	{"server_state", "info", "the backend server reported a start, a change of its slots, or its shutdown"},
 	{"server_report_refused", "warn", "a status report is malformed, out of date, or from another backend server; the node ignores it"},
 	{"log_lines_dropped", "warn", "log lines were dropped because of the rate limit or a full queue; field lines is their number"},
-	{"call_refused", "info", "a call did not run; fields call, route, reason, retry_after_ms and, once its service is chosen and has a backend server, service, tries, refusals, elapsed_ms"},
+	{"call_refused", "info", "a call did not run; fields call, route, reason, retry_after_ms, for a missing route config_age_ms, and, once its service is chosen and has a backend server, service, tries, refusals, elapsed_ms"},
 	{"call_failed", "warn", "a call ended without an answer of a backend server and may have run; fields as for call_refused"},
 	{"call_abandoned", "info", "the caller disconnected before its call was answered; fields as for call_refused"},
 	{"call_cut", "warn", "an answer could not be forwarded completely; fields call, route, service, tries, refusals, elapsed_ms, error"},
