Let a node read the store when nothing proves its configuration the newest

Cause: only the two readers of a region learn of a change, and a node that hears nothing takes it for no change. Another node becomes a reader after 3 s of silence, a probe of up to 2 s and 1 to 10 s of suspicion, later than the bound of 2 s. A reader whose poll has gone silent keeps the role for up to 7 s. The class is a role that is held by silence.

Change: a read that ends proves which position was the newest when it was sent. Nodes pass proofs on with their age and an id, and a node without a recent one reads the log or source itself: readers at 30% of configuration.applyWithin and later by rank, others at 45 to 60%. The setting is the platform's config_apply_s there and 5 s by default. A source that checks reads only the newest configuration when the node has got a newer one from another node.

Evidence: TestChangeInForceWithoutReaders failed in 10 of 20 cases on the code before (readers of either region, all readers, all neighbours of a node, half of the nodes; 0 to 3 s between cut and change) and passes, also with -race. TestProofAgesOnItsWay failed while proofs had no id: one that came back over slow nodes counted as newer.

A case of TestStartFromPeers took a configuration of 3.0 s for new, under the old limit of 6 s; the limit now follows from the bound (3 s of 5), so the case uses 2.0 s, and a new one requires a read at 3.5 s.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -37,6 +37,7 @@
 	DomainDelay time.Duration // one-way delay between failure domains, and to the log from its region
 	RegionDelay time.Duration // one-way delay between regions, and to the log from other regions
 	Retention   time.Duration // of the log; one hour if zero
+	ApplyWithin time.Duration // as in distribution.Config
 	Token       string        // of the inner protocol
 	Logger      *slog.Logger  // discards if nil
 }
@@ -185,7 +186,7 @@
 	})
 	agent = distribution.NewAgent(distribution.Config{
 		Self: self, Log: n.Log, Peers: pool, Seeds: c.seeds(), Table: membership.NewTable(),
-		Snapshots: snapshot.NewCache(), Logger: c.cfg.Logger.With("node", self.ID),
+		ApplyWithin: c.cfg.ApplyWithin, Snapshots: snapshot.NewCache(), Logger: c.cfg.Logger.With("node", self.ID),
 	})
 	ln, err := c.Net.Listen(self.PeerAddress)
 	if err != nil {
--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -47,6 +47,9 @@
 	// StartSpread is the maximum random delay of the first reads and, times
 	// firstAnnounceSpreads, of the first announcement; 0 means the default.
 	StartSpread time.Duration
+	// ApplyWithin is the time within which a confirmed configuration must be in
+	// effect on every node that reaches the log or source; 0 means the default.
+	ApplyWithin time.Duration
 	// OnSelfEntry is called with entries about this node that other nodes sent,
 	// and with their suspicions as entries with status dead; it may be nil.
 	OnSelfEntry func(membership.Member)
@@ -94,7 +97,11 @@
 	verified      atomic.Pointer[sourceView] // when the node last knew that it held that position
 	ready         atomic.Bool
 	readyDone     chan struct{}
-	retention     atomic.Int64 // of the log, in ns; 0 until a reader has seen it
+	proofSequence atomic.Uint64          // of the last proof that this node made
+	seenProofs    *shard.Map[peer.Proof] // last proof by origin
+	peerProofs    *shard.Map[time.Time]  // when the last proof that each neighbour sent was made
+	proofDue      chan struct{}          // a newer proof is to be passed on
+	retention     atomic.Int64           // of the log, in ns; 0 until a reader has seen it
 
 	firstRetained  atomic.Int64  // first retained offset as of the last read
 	checkpointLost chan struct{} // the log may have dropped the newest checkpoint
@@ -110,12 +117,16 @@
 		inFlight:       shard.NewMap[bool](shard.DefaultCount),
 		buildDue:       make(chan struct{}, 1), membersChanged: make(chan struct{}, 1), pullDue: make(chan struct{}, 1),
 		outboxFilled:  make(chan struct{}, 1),
+		seenProofs:    shard.NewMap[peer.Proof](shard.DefaultCount),
+		peerProofs:    shard.NewMap[time.Time](shard.DefaultCount),
+		proofDue:      make(chan struct{}, 1),
 		outbox:        shard.NewMap[queuedChange](shard.DefaultCount),
 		transferSlots: make(chan struct{}, maxTransfers),
 		peersSearched: make(chan struct{}),
 		readyDone:     make(chan struct{}), checkpointLost: make(chan struct{}, 1),
 	}
 	a.StartSpread = cmp.Or(a.StartSpread, startSpread)
+	a.ApplyWithin = cmp.Or(a.ApplyWithin, defaultApplyWithin)
 	if a.Directory == nil {
 		a.Directory = &logDirectory{log: cfg.Log, logger: cfg.Logger}
 	}
@@ -167,7 +178,7 @@
 func (a *Agent) loops() []func(context.Context) error {
 	loops := []func(context.Context) error{
 		a.replica.run, a.start, a.readMembers, a.announceSelf, a.maintainMembers, a.gossip,
-		a.announcePositions, a.pullChanges, a.build,
+		a.announcePositions, a.pullChanges, a.build, a.checkFreshness, a.relayProofs,
 	}
 	if a.Source != nil {
 		return append(loops, a.runSourceReader)
--- a/internal/distribution/cluster_test.go
+++ b/internal/distribution/cluster_test.go
@@ -31,18 +31,22 @@
 
 // inCluster runs a test on a cluster whose nodes are ready.
 func inCluster(t *testing.T, nodes int, retention time.Duration, test func(h *harness)) {
+	inClusterWith(t, cluster.Config{Nodes: nodes, Retention: retention}, test)
+}
+
+// inClusterWith is inCluster with further settings of the cluster.
+func inClusterWith(t *testing.T, cfg cluster.Config, test func(h *harness)) {
+	cfg.Domains, cfg.LogRegion = domains, "gaucho"
+	cfg.DomainDelay, cfg.RegionDelay = 500*time.Microsecond, 8*time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		c := cluster.New(cluster.Config{
-			Nodes: nodes, Domains: domains, LogRegion: "gaucho", DomainDelay: 500 * time.Microsecond,
-			RegionDelay: 8 * time.Millisecond, Retention: retention,
-		})
+		c := cluster.New(cfg)
 		h := &harness{Cluster: c, t: t, ctx: t.Context()}
 		assert.NilError(t, c.Init(h.ctx))
 		c.StartAll()
 		defer c.StopAll()
 		h.eventually(20*time.Second, "every node is ready and knows all", func() bool {
 			return h.all(func(n *cluster.Node) bool {
-				return n.Agent().Ready() && len(n.Agent().Table.All()) == nodes
+				return n.Agent().Ready() && len(n.Agent().Table.All()) == cfg.Nodes
 			})
 		})
 		test(h)
--- a/internal/distribution/handler.go
+++ b/internal/distribution/handler.go
@@ -47,7 +47,9 @@
 
 // HandleAnnouncement records the position that a peer announced.
 func (a *Agent) HandleAnnouncement(m peer.PositionAnnouncement) {
-	a.recordSourceAge(m.Position, m.SourceAgeMs)
+	if m.Proof != nil {
+		a.recordProof(m.ID, m.Position, *m.Proof)
+	}
 	a.recordPeerPosition(m.ID, m.Position)
 }
 
--- a/internal/distribution/heartbeat.go
+++ b/internal/distribution/heartbeat.go
@@ -82,8 +82,9 @@
 	a.startUnlessRunning("reprobe", m.ID, func() {
 		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 		defer cancel()
+		sent := time.Now()
 		if answer, err := a.Peers.Probe(ctx, m, false); err == nil {
-			a.mergeHello(answer)
+			a.mergeHello(answer, sent)
 		}
 	})
 }
@@ -163,22 +164,24 @@
 func (a *Agent) probe(ctx context.Context, m membership.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
+	sent := time.Now()
 	answer, err := a.Peers.Probe(ctx, m, true)
 	if err != nil {
 		a.Logger.Info("probe_failed", "node", m.ID, "error", err)
 		return false
 	}
 	a.detector.RecordContact(m.ID, time.Now())
-	a.mergeHello(answer)
+	a.mergeHello(answer, sent)
 	return true
 }
 
-// mergeHello merges the entry and the position from the answer to a hello.
-func (a *Agent) mergeHello(answer peer.HelloResponse) {
+// mergeHello merges the entry and the position from the answer to a hello that
+// was sent at a time.
+func (a *Agent) mergeHello(answer peer.HelloResponse, sent time.Time) {
 	a.endIsolation()
 	a.merge(answer.Node.ID, []membership.Member{answer.Node})
 	if answer.Position != nil {
-		a.recordSourceAge(*answer.Position, answer.SourceAgeMs)
+		a.recordSourceAge(*answer.Position, answer.SourceAgeMs, sent)
 		a.recordPeerPosition(answer.Node.ID, *answer.Position)
 	}
 }
--- a/internal/distribution/reader.go
+++ b/internal/distribution/reader.go
@@ -121,6 +121,7 @@
 		return r.verifyTip(ctx, p)
 	}
 	r.verify = false
+	sent := time.Now()
 	b, err := r.read(ctx, p.position().Offset+1, readWait)
 	if err != nil {
 		return r.handleReadError(ctx, p, err)
@@ -130,8 +131,8 @@
 	}
 	r.logID = b.LogID
 	if !r.verify {
-		r.submit(ctx, p, b.Entries)
-		r.recordLogEnd(b.Entries, time.Now())
+		r.submitRecords(ctx, p, b.Entries)
+		r.recordLogEnd(b.Entries, proofTime(sent, readWait, len(b.Entries) == 0))
 	}
 	return nil
 }
@@ -147,11 +148,12 @@
 	if len(b.Entries) == 0 || headOf(b.Entries[0].Data).ID != p.LastRecordID {
 		return r.recoverPosition(ctx, p)
 	}
-	r.submit(ctx, p, b.Entries)
+	r.submitRecords(ctx, p, b.Entries)
 	return nil
 }
 
-func (r *reader) submit(ctx context.Context, p *published, entries []platformlog.Entry) {
+// submitRecords submits the records that follow a published position.
+func (a *Agent) submitRecords(ctx context.Context, p *published, entries []platformlog.Entry) {
 	if len(entries) == 0 {
 		return
 	}
@@ -159,7 +161,7 @@
 	for _, e := range entries {
 		u.records = append(u.records, record{Offset: e.Offset, Data: e.Data})
 	}
-	r.replica.submit(ctx, u)
+	a.replica.submit(ctx, u)
 }
 
 // recordLogEnd records that the node's position is the end of the log, unless
--- a/internal/distribution/source.go
+++ b/internal/distribution/source.go
@@ -95,6 +95,7 @@
 // readSource makes one read and submits the result to the replica.
 func (a *Agent) readSource(ctx context.Context, poll time.Duration) error {
 	after, held := a.Position()
+	sent := time.Now()
 	c, err := a.Source.Next(ctx, after, poll)
 	if err != nil {
 		return err
@@ -104,7 +105,7 @@
 		after, held = a.Position()
 	}
 	if held {
-		a.recordSourcePosition(after, time.Now())
+		a.recordSourcePosition(after, proofTime(sent, poll, c == nil))
 	}
 	return nil
 }
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -133,6 +133,7 @@
 
 func (a *Agent) contactSeeds(ctx context.Context) {
 	for _, address := range a.Seeds {
+		sent := time.Now()
 		helloCtx, cancel := context.WithTimeout(ctx, startRequestTimeout)
 		answer, err := a.Peers.Hello(helloCtx, address)
 		cancel()
@@ -140,7 +141,7 @@
 			a.Logger.Debug("seed_failed", "address", address, "error", err)
 			continue
 		}
-		a.mergeHello(answer)
+		a.mergeHello(answer, sent)
 	}
 }
 
@@ -211,6 +212,7 @@
 func (a *Agent) askPositions(ctx context.Context) (highest profile.Position, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, startRequestTimeout)
 	defer cancel()
+	sent := time.Now()
 	peers := a.samplePeers(startPeerCount)
 	answers := make([]*peer.HelloResponse, len(peers))
 	var wg sync.WaitGroup
@@ -226,7 +228,7 @@
 		if answer == nil {
 			continue
 		}
-		a.mergeHello(*answer)
+		a.mergeHello(*answer, sent)
 		if p := answer.Position; p != nil {
 			answered = true
 			if p.Compare(highest) > 0 {
--- a/internal/distribution/startsource.go
+++ b/internal/distribution/startsource.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
-	"github.com/goldcrestshed/goldcrestshed/internal/profile"
 	"github.com/goldcrestshed/goldcrestshed/internal/wait"
 )
 
@@ -21,70 +20,20 @@
 	// peerStartProbeTimeout is the timeout of requests to peers, some of which
 	// may have failed.
 	peerStartProbeTimeout = 200 * time.Millisecond
-	// maxFreshSourceAge is the age up to which a position read from the source
-	// counts as the newest: one long poll without a result, plus its delay.
-	maxFreshSourceAge = sourcePollWait + time.Second
 	// emptySourceRetry is the time until a node that found the source empty
 	// reads it again. The first configuration arrives from the readers sooner.
 	emptySourceRetry = 2 * time.Second
 )
 
-// sourceView records that a position was the newest of the source at some time.
-type sourceView struct {
-	position profile.Position
-	at       time.Time
-}
-
-// newerThan reports whether a view replaces another one. A higher position
-// always does, regardless of its age.
-func (v sourceView) newerThan(have *sourceView) bool {
-	if have == nil {
-		return true
-	}
-	if c := v.position.Compare(have.position); c != 0 {
-		return c > 0
-	}
-	return v.at.After(have.at)
-}
-
-// recordSourcePosition records the newest position of the source.
-func (a *Agent) recordSourcePosition(p profile.Position, at time.Time) {
-	next := &sourceView{position: p, at: at}
-	for have := a.newestSource.Load(); next.newerThan(have); have = a.newestSource.Load() {
-		if a.newestSource.CompareAndSwap(have, next) {
-			break
-		}
-	}
-	a.updateVerified()
-}
-
-// recordSourceAge records the source age that a node reported with a position.
-func (a *Agent) recordSourceAge(p profile.Position, ageMs *int64) {
-	if ageMs != nil && *ageMs >= 0 {
-		a.recordSourcePosition(p, time.Now().Add(-time.Duration(*ageMs)*time.Millisecond))
-	}
-}
-
-// sourceAge returns how long ago a position was the newest of the source, in
-// ms, or nil if that is not known.
-func (a *Agent) sourceAge(p profile.Position) *int64 {
-	view := a.newestSource.Load()
-	if view == nil || p.Compare(view.position) < 0 {
-		return nil
-	}
-	age := time.Since(view.at).Milliseconds()
-	return &age
-}
-
 // holdsNewest reports whether the node's position was the newest of the source
-// within maxFreshSourceAge.
+// within maxProofAge.
 func (a *Agent) holdsNewest() bool {
 	p, ok := a.Position()
 	if !ok {
 		return false
 	}
 	age := a.sourceAge(p)
-	return age != nil && *age <= maxFreshSourceAge.Milliseconds()
+	return age != nil && *age <= a.maxProofAge().Milliseconds()
 }
 
 // starter is the state of the goroutine that applies the start rule.
@@ -166,12 +115,13 @@
 	)
 	for _, m := range s.likelyNewest() {
 		wg.Go(func() {
+			sent := time.Now()
 			answer, err := s.Peers.Probe(ctx, m, false)
 			if err != nil {
 				s.Logger.Debug("start_peer_failed", "node", m.ID, "error", err)
 				return
 			}
-			s.mergeHello(answer)
+			s.mergeHello(answer, sent)
 			mu.Lock()
 			defer mu.Unlock()
 			held = held || answer.Position != nil
--- a/internal/distribution/startsource_test.go
+++ b/internal/distribution/startsource_test.go
@@ -73,7 +73,8 @@
 		reads  int
 		within time.Duration
 	}{
-		{"peers that read it recently", "follower", stubPeers{position: held, ageMs: ms(3000)}, 0, 100 * time.Millisecond},
+		{"peers that read it recently", "follower", stubPeers{position: held, ageMs: ms(2000)}, 0, 100 * time.Millisecond},
+		{"peers whose proof is too old for the bound", "follower", stubPeers{position: held, ageMs: ms(3500)}, 1, 2 * time.Second},
 		{"peers that read it long ago", "follower", stubPeers{position: held, ageMs: ms(60_000)}, 1, 2 * time.Second},
 		{"peers that do not know its age", "follower", stubPeers{position: held}, 1, 1100 * time.Millisecond},
 		{"peers that are starting too", "follower", stubPeers{}, 1, 2 * time.Second},
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -59,9 +59,27 @@
 
 // PositionAnnouncement tells neighbours that the sender has reached a position.
 type PositionAnnouncement struct {
-	ID          string           `json:"id"`
-	Position    profile.Position `json:"pos"`
-	SourceAgeMs *int64           `json:"sourceAgeMs,omitempty"` // as in HelloResponse
+	ID       string           `json:"id"`
+	Position profile.Position `json:"pos"`
+	Proof    *Proof           `json:"proof,omitempty"`
+}
+
+// Proof shows that the position of its announcement was the newest one of the log
+// or source a while ago. Nodes pass it on; its id keeps one that comes back from
+// counting as a newer one, whatever time it spent on the way.
+type Proof struct {
+	Origin      string `json:"by"`  // node that made it
+	Incarnation int64  `json:"inc"` // of that node
+	Sequence    uint64 `json:"seq"` // increases with each proof of that incarnation
+	AgeMs       int64  `json:"ageMs"`
+}
+
+// NewerThan reports whether the proof was made after another one of its origin.
+func (p Proof) NewerThan(other Proof) bool {
+	if p.Incarnation != other.Incarnation {
+		return p.Incarnation > other.Incarnation
+	}
+	return p.Sequence > other.Sequence
 }
 
 // PullRequest asks for the records after a position, or for the full state
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,7 @@
 	Node          Node          `json:"node" doc:"identity and location of the node"`
 	Listen        Listen        `json:"listen" doc:"addresses that the node listens on"`
 	BackendServer BackendServer `json:"backendServer" doc:"the backend server on the node's instance"`
+	Configuration Configuration `json:"configuration" doc:"distribution of the operators' configuration"`
 	Log           Log           `json:"log" doc:"the platform's log"`
 	Platform      Platform      `json:"platform" doc:"the platform that is used instead of the log"`
 	Peers         Peers         `json:"peers" doc:"the inner protocol"`
@@ -50,6 +51,11 @@
 	ProbeEvery  jsonc.Duration `json:"probeEvery" default:"1s" min:"100ms" max:"1m" doc:"interval of the probes that check whether the backend server accepts connections"`
 }
 
+// Configuration holds the settings of the distribution of the configuration.
+type Configuration struct {
+	ApplyWithin jsonc.Duration `json:"applyWithin" default:"5s" min:"500ms" max:"5m" doc:"time within which a confirmed configuration must be in effect on every node that reaches the log or store; how often nodes check theirs follows from it"`
+}
+
 // Log holds the settings of the log client.
 type Log struct {
 	Address string `json:"address" default:"" doc:"HTTP address of the log service, ip:port; required unless platform.store is set"`
