Ask for the full state at once when changes of a neighbour do not fit

Cause: a neighbour that had skipped versions sends changes that are based on another version than the held one. The node then forgot that the neighbour was ahead, and learned it again from its next heartbeat, up to 1 s later. Only then did it ask for the full state. In a storm this takes up to half of the bound of 2 s.

Change: after changes that do not fit, the full state is asked for at once, of the same node. If that does not help either, the next heartbeat decides as before.

Evidence: TestPullAsksForFullStateAtOnce failed before (position 286 after one pull instead of 1000) and passes.

--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -203,8 +203,10 @@
 	}
 	delete(p.notBefore, m.ID)
 	if !p.applyAnswer(ctx, req, answer) {
-		p.peerPositions.Delete(m.ID) // its next heartbeat reports the position again
-		p.wantFull = true
+		if req.Full || len(answer.Full) == 0 {
+			p.peerPositions.Delete(m.ID) // its next heartbeat reports the position again
+		}
+		p.wantFull = true // and at once, if the answer held changes that did not fit
 		return
 	}
 	p.wantFull = false
