Keep the limit that a backend server names in its answers

Cause: nothing in the code read Server-Limit; the header was passed on to callers. The class is a statement of the server that no decision uses.

Change: every call to a server passes the inbound proxy of its node, so the admission controller there counts exactly. A token bucket holds the rate; calls wait for it in the queue's order and are refused at once, as not run, if it comes after their latest start. Resends count. A node that has just started sends 3 calls at once until the server has answered.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -19,7 +19,10 @@
 	ColdStart       time.Duration // time over which the slots of a started server are opened; 0 opens all at once
 	ServiceTimes    *ServiceTimes // service times of the routes; nil for new ones
 	Link            *Link         // of the instance; nil for none
-	SingleClass     bool          // treat every call as short; a baseline for benchmarks
+	// UnansweredCalls is how many calls run at once until the backend server has
+	// first answered, since that answer may name a limit; 0 sets no bound.
+	UnansweredCalls int
+	SingleClass     bool // treat every call as short; a baseline for benchmarks
 }
 
 // Defaults of a Config. NewController does not apply DefaultColdStart, since a
@@ -49,6 +52,8 @@
 	running  map[*Ticket]struct{} // running background calls that were not preempted; guarded by mu
 	started  time.Time            // when the backend server started; guarded by mu
 	draining bool                 // guarded by mu
+	limit    rateLimit            // named by the backend server; guarded by mu
+	answered bool                 // the backend server has answered since the start of the node; guarded by mu
 }
 
 // NewController returns a Controller with all slots free.
@@ -181,7 +186,7 @@
 		return c.refusalLocked(now, ReasonDraining), true
 	case t.latestStart.Before(now):
 		return c.refusalLocked(now, ReasonDeadline), true
-	case c.exceedsMaxWaitLocked(now, t, maxWait), c.startsTooLateLocked(now, t):
+	case c.exceedsMaxWaitLocked(now, t, maxWait), c.startsTooLateLocked(now, t), c.limitComesTooLateLocked(now, t):
 		return c.refusalLocked(now, ReasonOverloaded), true
 	case c.linkWaitLocked(now, t) > c.linkPatience(now, t, maxWait):
 		return c.refusalLocked(now, ReasonLinkBusy), true
@@ -248,7 +253,7 @@
 // refusalLocked returns a refusal. Its retry-after is the expected time until the
 // calls queued now are served, or drainRetryAfter; at least minRetryAfter.
 func (c *Controller) refusalLocked(now time.Time, reason Reason) Decision {
-	after := c.waitLocked(now)
+	after := max(c.waitLocked(now), c.limit.wait(now, c.queue.size()))
 	switch reason {
 	case ReasonDraining:
 		after = drainRetryAfter
@@ -264,11 +269,12 @@
 	defer c.mu.Unlock()
 	limit := c.openSlotsLocked(now)
 	return LoadReport{
-		Slots:    limit,
+		Slots:    c.limit.slots(limit, c.demand.meanTime()),
 		InUse:    c.totalInUse(),
 		Queued:   c.queue.size(),
 		Reserved: c.reservedLocked(now, limit),
 		Wait:     c.waitLocked(now),
 		Draining: c.draining,
+		Limit:    c.limitLocked(),
 	}
 }
--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -36,6 +36,7 @@
 			break
 		}
 		c.queue.remove(t)
+		c.limit.spend(now)
 		c.shares.addServed(t.route, now)
 		t.state = stateRunning
 		c.inUse[t.priority][t.class]++
@@ -75,7 +76,7 @@
 // mayRunLocked reports whether a slot is free for a call of a priority and class.
 func (c *Controller) mayRunLocked(now time.Time, p Priority, class Class) bool {
 	limit := c.openSlotsLocked(now)
-	if c.totalInUse() >= limit {
+	if c.totalInUse() >= limit || !c.limit.allows(now) {
 		return false
 	}
 	if class == Long && c.classInUse(Long) >= limit-c.reservedLocked(now, limit) {
@@ -84,15 +85,19 @@
 	return p == Caller || c.backgroundInUse() < c.backgroundLimitLocked(now, limit)
 }
 
-// openSlotsLocked returns the number of open slots: all of them, or a share that
-// grows with time during a cold start.
+// openSlotsLocked returns the number of open slots: all of them, a few until the
+// server has first answered, or a share that grows with time during a cold start.
 func (c *Controller) openSlotsLocked(now time.Time) int {
+	slots := c.cfg.Slots
+	if !c.answered && c.cfg.UnansweredCalls > 0 {
+		slots = min(slots, c.cfg.UnansweredCalls)
+	}
 	age := now.Sub(c.started)
 	if c.started.IsZero() || age >= c.cfg.ColdStart {
-		return c.cfg.Slots
+		return slots
 	}
 	share := coldStartShare + (1-coldStartShare)*float64(age)/float64(c.cfg.ColdStart)
-	return max(1, int(share*float64(c.cfg.Slots)))
+	return max(1, int(share*float64(slots)))
 }
 
 // reservedLocked returns the number of slots reserved for short calls, within
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -70,12 +70,13 @@
 
 // LoadReport is the load of one backend server as counted by its own node.
 type LoadReport struct {
-	Slots    int           `json:"slots"` // open slots; fewer than configured during a cold start
+	Slots    int           `json:"slots"` // open slots; fewer than configured during a cold start, or if the limit allows fewer calls at once
 	InUse    int           `json:"inUse"`
 	Queued   int           `json:"queued"`
 	Reserved int           `json:"kept"`   // slots reserved for short calls
 	Wait     time.Duration `json:"waitNs"` // estimate until the calls queued now are served
 	Draining bool          `json:"draining,omitempty"`
+	Limit    float64       `json:"limit,omitempty"` // calls a second that the server takes by its own word; 0 if it names none
 }
 
 const (
--- a/internal/admission/wait.go
+++ b/internal/admission/wait.go
@@ -27,6 +27,13 @@
 	return c.waitOfLocked(now, t) > patience
 }
 
+// limitComesTooLateLocked reports whether the limit that the server names allows a
+// call only after the latest start at which it can meet its deadline.
+func (c *Controller) limitComesTooLateLocked(now time.Time, t *Ticket) bool {
+	ahead, _ := c.queue.ahead(t, now)
+	return c.limit.wait(now, ahead) > t.latestStart.Sub(now)
+}
+
 // linkWaitLocked estimates how long the answer of a call waits for the link, 0 for
 // a short one.
 func (c *Controller) linkWaitLocked(now time.Time, t *Ticket) time.Duration {
@@ -64,8 +71,8 @@
 	return max(wait, interval*time.Duration(sameRoute+1))
 }
 
-// slotIntervalLocked is the mean time between two slots that become free while
-// all are in use.
+// slotIntervalLocked is the mean time between two calls that get a slot while all
+// are in use: until a slot is free and the limit of the server allows a call.
 func (c *Controller) slotIntervalLocked(now time.Time) time.Duration {
-	return c.demand.meanTime() / time.Duration(c.openSlotsLocked(now))
+	return max(c.demand.meanTime()/time.Duration(c.openSlotsLocked(now)), c.limit.interval())
 }
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -52,7 +52,13 @@
 		coldStart = 0 // the balancers see from the reports that a cold server is slow; all its slots stay usable
 	}
 	link := admission.NewLink(n.settings.Network.LinkMbps * bytesPerMbit)
-	c.admission = admission.NewController(admission.Config{Slots: n.settings.BackendServer.Slots, Queue: defaultQueueLimit, ColdStart: coldStart, Link: link})
+	unanswered := 0
+	if n.platform.Dialect.Limit != "" {
+		unanswered = unansweredCalls
+	}
+	c.admission = admission.NewController(admission.Config{
+		Slots: n.settings.BackendServer.Slots, Queue: defaultQueueLimit, ColdStart: coldStart, Link: link, UnansweredCalls: unanswered,
+	})
 	c.claims = newClaimRouter(self.ID, logClient, n.members, n.peers.pool, n.agent.Digest)
 	c.coordinator = idempotency.NewCoordinator(idempotency.CoordinatorConfig{
 		Self: idempotency.Holder{Node: self.ID, Incarnation: self.Incarnation}, ClaimerFor: c.claims.claimerFor,
@@ -104,6 +110,11 @@
 	backendFreshAfter = time.Second
 )
 
+// unansweredCalls is how many calls a node that has just started sends at once to a
+// backend server that may name a limit in its first answer: the server may have
+// named one before the node was restarted, and a low one allows no more.
+const unansweredCalls = 3
+
 // spillRatio is the ratio of the expected latency in this node's failure domain to
 // that in another one, above which a call goes to the other domain. Reports are
 // exact, so a small difference justifies the longer path.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -51,6 +51,7 @@
 	set(telemetry.MetricBackendUp, boolGauge(n.backendUp.Load()))
 	set(telemetry.MetricSlots, float64(load.Slots))
 	set(telemetry.MetricSlotsBusy, float64(load.InUse))
+	set(telemetry.MetricServerLimit, load.Limit)
 	set(telemetry.MetricQueue, float64(load.Queued))
 	set(telemetry.MetricQuarantine, float64(len(n.callPath.quarantine.Entries(now))))
 	set(telemetry.MetricBatchers, float64(n.callPath.claims.local.Len()))
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -82,6 +82,9 @@
 	if report.Leaving {
 		state.ShutdownAnnounced = time.Now()
 	}
+	if c.Started {
+		r.callPath.admission.ForgetLimit()
+	}
 	r.inbound.SetServerState(state)
 	r.callPath.admission.SetSlots(report.Slots)
 	self := r.agent.UpdateSelf(func(m membership.Member) membership.Member {
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -1,9 +1,13 @@
 package proxy
 
 import (
+	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/admission"
 )
 
 // Dialect names the headers that the callers and backend servers of a
@@ -15,6 +19,7 @@
 	Caller      string // service of the calling instance; set by the outbound proxy
 	Target      string // instance of the backend server that a call is for; set by the inbound proxy
 	NotExecuted string // in an answer of a backend server that did not run the call
+	Limit       string // in an answer of a backend server: the calls a second that it takes from all nodes together
 	// RefusalStatus replaces the 5xx status of every answer that says that a
 	// call was not run; 0 keeps the status of the reason. It is for callers that
 	// read "not run" from the status alone.
@@ -47,6 +52,29 @@
 	return a.Header.Get(d.NotExecuted) != "" || a.StatusCode == http.StatusMisdirectedRequest
 }
 
+// LimitOf returns what an answer of the backend server says of its limit. Of
+// several values the lowest counts, and those that are no limit are ignored.
+func (d *Dialect) LimitOf(h http.Header) admission.StatedLimit {
+	if d.Limit == "" {
+		return admission.StatedLimit{}
+	}
+	values := h.Values(d.Limit)
+	if len(values) == 0 {
+		return admission.StatedLimit{Kind: admission.LimitNone}
+	}
+	var out admission.StatedLimit
+	for text := range strings.SplitSeq(strings.Join(values, ","), ",") {
+		limit, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+			continue
+		}
+		if out.Kind != admission.LimitNamed || limit < out.CallsPerSecond {
+			out = admission.StatedLimit{Kind: admission.LimitNamed, CallsPerSecond: limit}
+		}
+	}
+	return out
+}
+
 // Matches reports whether an answer of a backend server belongs to the call.
 // A server may send a second answer late, in place of the next one; its id shows
 // that. Refusals may lack an id, since a server may send them before it reads the id.
--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -109,7 +109,7 @@
 func (c *call) exchange() (*proxy.Answer, *proxy.SendError) {
 	c.proxy.budget.AddCall(c.proxy.cfg.Self, maxResendFraction, time.Now())
 	a, err := c.sendAndDetectCrash(false)
-	if err != nil && c.mayResend(err) {
+	if err != nil && c.mayResend(err) && c.limitAllowsResend(err) {
 		firstSent := err.Sent
 		a, err = c.sendAndDetectCrash(true)
 		if err != nil {
@@ -131,11 +131,15 @@
 		// The process may have been paused after the call got its slot.
 		return nil, &proxy.SendError{Cause: errors.Mark(errors.New("the call's deadline has passed"), errExpired)}
 	}
+	sent := time.Now()
 	a, err := c.send(fresh)
 	if err == nil && !c.proxy.cfg.Dialect.Matches(c.r, a) {
 		a.Close()
 		return nil, &proxy.SendError{Cause: proxy.ErrMismatch, Sent: true, Connected: true, Reused: !fresh}
 	}
+	if err == nil {
+		c.proxy.observeAnswer(a.Header, sent)
+	}
 	if err != nil && c.connectionLost(err) {
 		c.checkCrash()
 	}
@@ -152,6 +156,12 @@
 	return c.body.Resendable() && (!err.Sent || (c.repeatable && c.spendResendBudget()))
 }
 
+// limitAllowsResend reports whether the limit of the backend server leaves room for
+// a second transmission. The first counts only if the server got it.
+func (c *call) limitAllowsResend(err *proxy.SendError) bool {
+	return !err.Sent || c.proxy.cfg.Admission.SpendResend(time.Now())
+}
+
 // idleWaitFraction is the fraction of the remaining time after which a reused
 // connection without an answer is treated as dead. It is smaller than that of
 // the outbound proxy.
--- a/internal/proxy/inbound/serverstate.go
+++ b/internal/proxy/inbound/serverstate.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/admission"
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 )
 
@@ -31,10 +32,22 @@
 // Config.Reported set, no call is passed on before the first report.
 func (p *Proxy) SetServerState(s ServerState) { p.serverState.Store(&s) }
 
+// observeAnswer applies what an answer, to a call sent at a time, says of the limit
+// on the backend server's calls.
+func (p *Proxy) observeAnswer(h http.Header, sent time.Time) {
+	stated := p.cfg.Dialect.LimitOf(h)
+	if p.cfg.Admission.ObserveAnswer(time.Now(), sent, stated) {
+		p.cfg.Logger.Info("server_limit", "named", stated.Kind == admission.LimitNamed, "calls_per_second", stated.CallsPerSecond)
+	}
+}
+
 // ClearServerState forgets the reported state, after the address of the backend
 // server turned out to belong to another server. With Config.Reported set, calls
 // are refused until the next report.
-func (p *Proxy) ClearServerState() { p.serverState.Store(nil) }
+func (p *Proxy) ClearServerState() {
+	p.serverState.Store(nil)
+	p.cfg.Admission.ForgetLimit()
+}
 
 // sendRefusal returns why no call may be passed to the backend server, or nil.
 func (p *Proxy) sendRefusal(now time.Time) *proxy.Failure {
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -31,6 +31,7 @@
 	MetricBackendUp      = "backend_up"
 	MetricSlots          = "slots"
 	MetricSlotsBusy      = "slots_busy"
+	MetricServerLimit    = "server_limit"
 	MetricQueue          = "queue"
 	MetricQuarantine     = "quarantine_entries"
 	MetricPeerBytesIn    = "peer_bytes_in"
@@ -55,6 +56,7 @@
 	{MetricBackendUp, "gauge", "0 or 1", "0 if the backend server refused the connection of the last probe"},
 	{MetricSlots, "gauge", "slots", "calls that the backend server may run at once now"},
 	{MetricSlotsBusy, "gauge", "slots", "calls that the backend server runs"},
+	{MetricServerLimit, "gauge", "calls/s", "calls a second that the backend server takes from all nodes by its own word; 0 if it names no limit"},
 	{MetricQueue, "gauge", "calls", "calls that wait for a slot of the backend server"},
 	{MetricQuarantine, "gauge", "requests", "requests under suspicion or in quarantine"},
 	{MetricPeerBytesIn, "gauge", "bytes", "bytes received on the inner protocol since the start"},
@@ -101,13 +103,14 @@
 	{"state_refused", "error", "a configuration could not be decoded; the old one stays in use"},
 	{"directory_read_failed", "warn", "announcements of nodes could not be read; logged for the first of consecutive failures"},
 	{"server_state", "info", "the backend server reported a start, a change of its slots, or its shutdown"},
+	{"server_limit", "info", "the backend server names a limit on its calls in its answers, another one, or none any more; fields named, calls_per_second"},
 	{"server_report_refused", "warn", "a status report is malformed, out of date, or from another backend server; the node ignores it"},
 	{"log_lines_dropped", "warn", "log lines were dropped because of the rate limit or a full queue; field lines is their number"},
 	{"call_refused", "info", "a call did not run; fields call, route, reason, retry_after_ms, for a missing route config_age_ms, and, once its service is chosen and has a backend server, service, tries, refusals, elapsed_ms"},
 	{"call_failed", "warn", "a call ended without an answer of a backend server and may have run; fields as for call_refused"},
 	{"call_abandoned", "info", "the caller disconnected before its call was answered; fields as for call_refused"},
 	{"call_cut", "warn", "an answer could not be forwarded completely; fields call, route, service, tries, refusals, elapsed_ms, error"},
-	{"call_turned_away", "info", "the inbound proxy answered a call with a failure of its own; fields call, route, reason, outcome, in_use, queued, slots, wait_ms, left_ms, patience_ms"},
+	{"call_turned_away", "info", "the inbound proxy answered a call with a failure of its own; fields call, route, reason, outcome, in_use, queued, slots, limit, wait_ms, left_ms, patience_ms"},
 	{"attempt_failed", "info", "an attempt of a call failed or was refused; fields call, server, reason, outcome, elapsed_ms, rule, verdict"},
 	{"settings_reloaded", "info", "the settings file changed; field sections names the changed ones, field applied says whether only the level of log lines changed, which takes effect without a restart"},
 	{"settings_refused", "warn", "the changed settings file cannot be read or is invalid; the node keeps its settings"},
