Call no server that says in its answers that it leaves

Cause: nothing in the code read Server-Leaving. A server that leaves was called until its report or its deregistration arrived at its node, and by nodes that had not heard of that even later.

Change: the inbound proxy of its node passes no new call on from the first such answer, and the node applies it like a report, so that the member entry tells the other nodes and restores the state after a restart. A caller's node that has got such an answer calls this start of the server no more. A later start is called again, also with the same id. Changes of the server's state are now ordered by a lock: a report of an earlier start could be applied after one of a later start.

--- a/internal/balance/selection.go
+++ b/internal/balance/selection.go
@@ -98,7 +98,7 @@
 		return Choice{}, false
 	}
 	for _, c := range s.all() {
-		if !c.server.probeDue(s.now) || c.tier == TierCrossRegion && !s.crossRegion {
+		if !c.server.probeDue(s.now) || c.server.leaving || c.tier == TierCrossRegion && !s.crossRegion {
 			continue
 		}
 		if s.balancer.stats.claimProbe(c.endpoint.ID, s.now) {
@@ -156,7 +156,7 @@
 	for _, t := range []Tier{TierDomain, TierRegion} {
 		tier := s.tier(t)
 		for i := range tier {
-			if !tier[i].removed && !s.now.Before(tier[i].server.avoidUntil) {
+			if !tier[i].removed && !tier[i].server.leaving && !s.now.Before(tier[i].server.avoidUntil) {
 				return true
 			}
 		}
@@ -178,9 +178,9 @@
 	return out
 }
 
-// left reports whether a candidate is neither removed nor excluded.
+// left reports whether a candidate is neither removed, leaving nor excluded.
 func (s *selection) left(c *candidate) bool {
-	return !c.removed && !slices.Contains(s.request.Exclude, c.endpoint.ID)
+	return !c.removed && !c.server.leaving && !slices.Contains(s.request.Exclude, c.endpoint.ID)
 }
 
 func (s *selection) anyLeft(t Tier) bool { return len(s.eligible(t, true)) > 0 }
--- a/internal/balance/stats.go
+++ b/internal/balance/stats.go
@@ -122,6 +122,15 @@
 	})
 }
 
+// MarkLeaving records that an incarnation of a server has said that it shuts down.
+// It gets no calls any more.
+func (s *Stats) MarkLeaving(id string, incarnation int64) {
+	s.update(id, func(v server, ok bool) (server, bool) {
+		v.leaving = v.leaving || ok && v.incarnation == incarnation
+		return v, ok
+	})
+}
+
 // state returns a copy of a server's state. A server that is new or has a new
 // incarnation begins its cold start.
 func (s *Stats) state(id string, incarnation int64, now time.Time) server {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,26 +27,29 @@
 
 // Node holds the components of a node; Run starts them.
 type Node struct {
-	settings    settings.Settings
-	platform    Platform
-	tracker     *serverstate.Tracker // state of the backend server from its reports, if it sends them
-	logger      *slog.Logger
-	dump        *telemetry.Dumper
-	metrics     *telemetry.Metrics
-	snapshots   *snapshot.Cache
-	members     *membership.Table
-	agent       *distribution.Agent
-	peers       peers
-	outbound    *outbound.Proxy
-	inbound     *inbound.Proxy
-	callPath    callPath
-	backendUp   atomic.Bool // as of the last probe; false if the backend server is not probed
-	listeners   listeners
-	httpServers servers       // of the two proxies, which a drain shuts down; the others stay up
-	draining    chan struct{} // closed by the first Drain
-	drainOnce   sync.Once
-	stopped     chan struct{} // closed when the run group starts to stop
-	stopOnce    sync.Once
+	settings settings.Settings
+	platform Platform
+	// serverStateMu orders the changes of the backend server's state, so that one of
+	// an earlier start is not applied after one of a later start.
+	serverStateMu sync.Mutex
+	tracker       *serverstate.Tracker // state of the backend server from its reports, if it sends them
+	logger        *slog.Logger
+	dump          *telemetry.Dumper
+	metrics       *telemetry.Metrics
+	snapshots     *snapshot.Cache
+	members       *membership.Table
+	agent         *distribution.Agent
+	peers         peers
+	outbound      *outbound.Proxy
+	inbound       *inbound.Proxy
+	callPath      callPath
+	backendUp     atomic.Bool // as of the last probe; false if the backend server is not probed
+	listeners     listeners
+	httpServers   servers       // of the two proxies, which a drain shuts down; the others stay up
+	draining      chan struct{} // closed by the first Drain
+	drainOnce     sync.Once
+	stopped       chan struct{} // closed when the run group starts to stop
+	stopOnce      sync.Once
 }
 
 type listeners struct {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -61,54 +61,82 @@
 	var change serverstate.Change
 	err := report.Validate(time.Now())
 	if err == nil {
-		change, err = r.tracker.Accept(report)
+		change, err = r.acceptReport(report)
 	}
 	if err != nil {
 		r.logger.Warn("server_report_refused", "server", report.ID, "born", report.StartMs, "number", report.Sequence, "error", err)
 		return err
 	}
-	if !change.Changed {
-		return nil
+	if change.Changed {
+		r.announceReport(ctx, change)
 	}
-	r.applyReport(ctx, change)
 	return nil
 }
 
-// applyReport applies a change of the backend server's state. It updates the
+// acceptReport accepts a report and applies it.
+func (n *Node) acceptReport(report serverstate.Report) (serverstate.Change, error) {
+	n.serverStateMu.Lock()
+	defer n.serverStateMu.Unlock()
+	change, err := n.tracker.Accept(report)
+	if err == nil && change.Changed {
+		n.applyReportLocked(change)
+	}
+	return change, err
+}
+
+// markServerLeaving handles an answer in which a start of the backend server said
+// that it shuts down. The inbound proxy passes no new call on to it already.
+func (n *Node) markServerLeaving(instance string) {
+	n.serverStateMu.Lock()
+	defer n.serverStateMu.Unlock()
+	change, isNew := n.tracker.MarkLeaving(instance)
+	if !isNew {
+		return
+	}
+	n.applyReportLocked(change)
+	go n.announceReport(context.Background(), change)
+}
+
+// applyReportLocked applies a change of the backend server's state. It updates the
 // inbound proxy first, which by itself stops calls to a server that shuts down.
-func (r reportReceiver) applyReport(ctx context.Context, c serverstate.Change) {
+func (n *Node) applyReportLocked(c serverstate.Change) {
 	report := c.Report
 	state := inbound.ServerState{Instance: report.ID}
 	if report.Leaving {
 		state.ShutdownAnnounced = time.Now()
 	}
 	if c.Started {
-		r.callPath.admission.ForgetLimit()
+		n.callPath.admission.ForgetLimit()
 	}
-	r.inbound.SetServerState(state)
-	r.callPath.admission.SetSlots(report.Slots)
-	self := r.agent.UpdateSelf(func(m membership.Member) membership.Member {
-		m.Service, m.Slots = r.settings.Node.Service, report.Slots
+	n.inbound.SetServerState(state)
+	n.callPath.admission.SetSlots(report.Slots)
+	n.agent.UpdateSelf(func(m membership.Member) membership.Member {
+		m.Service, m.Slots = n.settings.Node.Service, report.Slots
 		m.ServerID, m.ServerStartNs, m.ServerReport = report.ID, report.StartMs*int64(time.Millisecond), report.Sequence
 		m.ServerLeaving = report.Leaving
 		m.Status = membership.StatusAlive
-		if report.Leaving || r.Draining() {
+		if report.Leaving || n.Draining() {
 			m.Status = membership.StatusDraining
 		}
 		return m
 	})
-	r.logger.Info("server_state", "server", report.ID, "born", report.StartMs, "number", report.Sequence, "slots", report.Slots, "leaving", report.Leaving, "departure", report.Departure)
-	if !report.Leaving {
+	n.logger.Info("server_state", "server", report.ID, "born", report.StartMs, "number", report.Sequence, "slots", report.Slots, "leaving", report.Leaving, "departure", report.Departure)
+}
+
+// announceReport announces a change of the backend server's state in the directory,
+// from which other nodes learn of a start, and this one after a restart of a
+// shutdown. It waits only for the second.
+func (n *Node) announceReport(ctx context.Context, c serverstate.Change) {
+	if !c.Report.Leaving {
 		if c.Started {
-			n := r.Node
 			go n.announceStart()
 		}
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), departureAnnounceTimeout)
 	defer cancel()
-	if err := r.agent.Directory.Announce(ctx, self); err != nil {
-		r.logger.Warn("announce_failed", "server", report.ID, "error", err)
+	if err := n.agent.Directory.Announce(ctx, n.agent.SelfEntry()); err != nil {
+		n.logger.Warn("announce_failed", "server", c.Report.ID, "error", err)
 	}
 }
 
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -20,6 +20,7 @@
 	Target      string // instance of the backend server that a call is for; set by the inbound proxy
 	NotExecuted string // in an answer of a backend server that did not run the call
 	Limit       string // in an answer of a backend server: the calls a second that it takes from all nodes together
+	Leaving     string // in an answer of a backend server that shuts down; the value is leavingValue
 	// RefusalStatus replaces the 5xx status of every answer that says that a
 	// call was not run; 0 keeps the status of the reason. It is for callers that
 	// read "not run" from the status alone.
@@ -52,6 +53,14 @@
 	return a.Header.Get(d.NotExecuted) != "" || a.StatusCode == http.StatusMisdirectedRequest
 }
 
+// leavingValue is the value of the header Leaving.
+const leavingValue = "1"
+
+// IsLeaving reports whether an answer says that the backend server shuts down.
+func (d *Dialect) IsLeaving(h http.Header) bool {
+	return d.Leaving != "" && h.Get(d.Leaving) == leavingValue
+}
+
 // LimitOf returns what an answer of the backend server says of its limit. Of
 // several values the lowest counts, and those that are no limit are ignored.
 func (d *Dialect) LimitOf(h http.Header) admission.StatedLimit {
--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -131,6 +131,7 @@
 		// The process may have been paused after the call got its slot.
 		return nil, &proxy.SendError{Cause: errors.Mark(errors.New("the call's deadline has passed"), errExpired)}
 	}
+	server := c.proxy.serverState.Load()
 	sent := time.Now()
 	a, err := c.send(fresh)
 	if err == nil && !c.proxy.cfg.Dialect.Matches(c.r, a) {
@@ -138,7 +139,7 @@
 		return nil, &proxy.SendError{Cause: proxy.ErrMismatch, Sent: true, Connected: true, Reused: !fresh}
 	}
 	if err == nil {
-		c.proxy.observeAnswer(a.Header, sent)
+		c.proxy.observeAnswer(a.Header, server, sent)
 	}
 	if err != nil && c.connectionLost(err) {
 		c.checkCrash()
--- a/internal/proxy/inbound/proxy.go
+++ b/internal/proxy/inbound/proxy.go
@@ -28,6 +28,10 @@
 	Coordinator *idempotency.Coordinator // nil refuses calls that must run at most once
 	InFlight    *quarantine.InFlight
 	Reported    bool // the backend server reports its state, see SetServerState
+	// OnServerLeaving is called, possibly more than once, after the start of the
+	// backend server with an instance id has said in an answer that it shuts down;
+	// it must not block. May be nil.
+	OnServerLeaving func(instance string)
 	// InboundAddressOf returns the address of a live holder's inbound proxy.
 	InboundAddressOf func(idempotency.Holder) (string, bool)
 }
@@ -46,6 +50,9 @@
 // New returns a Proxy.
 func New(cfg Config) *Proxy {
 	cfg.HopConfig = cfg.WithDefaults()
+	if cfg.OnServerLeaving == nil {
+		cfg.OnServerLeaving = func(string) {}
+	}
 	if cfg.InboundAddressOf == nil {
 		cfg.InboundAddressOf = func(idempotency.Holder) (string, bool) { return "", false }
 	}
--- a/internal/proxy/inbound/serverstate.go
+++ b/internal/proxy/inbound/serverstate.go
@@ -32,13 +32,22 @@
 // Config.Reported set, no call is passed on before the first report.
 func (p *Proxy) SetServerState(s ServerState) { p.serverState.Store(&s) }
 
-// observeAnswer applies what an answer, to a call sent at a time, says of the limit
-// on the backend server's calls.
-func (p *Proxy) observeAnswer(h http.Header, sent time.Time) {
+// observeAnswer applies what an answer says of the backend server itself: the limit
+// on its calls, and that it shuts down. server is its state when the call was sent.
+func (p *Proxy) observeAnswer(h http.Header, server *ServerState, sent time.Time) {
 	stated := p.cfg.Dialect.LimitOf(h)
 	if p.cfg.Admission.ObserveAnswer(time.Now(), sent, stated) {
 		p.cfg.Logger.Info("server_limit", "named", stated.Kind == admission.LimitNamed, "calls_per_second", stated.CallsPerSecond)
 	}
+	if !p.cfg.Dialect.IsLeaving(h) || server == nil {
+		return
+	}
+	if server.ShutdownAnnounced.IsZero() {
+		leaving := *server
+		leaving.ShutdownAnnounced = time.Now()
+		p.serverState.CompareAndSwap(server, &leaving) // unless another start has reported meanwhile
+	}
+	p.cfg.OnServerLeaving(server.Instance)
 }
 
 // ClearServerState forgets the reported state, after the address of the backend
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -250,6 +250,9 @@
 	if t.answer != nil {
 		t.load = proxy.ParseLoad(t.answer.Header.Get(proxy.HeaderLoad))
 		c.mergeQuarantine(t.answer.Header)
+		if c.proxy.cfg.Dialect.IsLeaving(t.answer.Header) {
+			c.proxy.cfg.Stats.MarkLeaving(choice.Endpoint.ID, choice.Endpoint.Incarnation)
+		}
 		c.bufferAnswer(t)
 	}
 	return t
--- a/internal/proxy/path/dialect_test.go
+++ b/internal/proxy/path/dialect_test.go
@@ -16,7 +16,7 @@
 
 // testDialect is a dialect that names every header.
 var testDialect = proxy.Dialect{
-	Deadline: "X-Left-Ms", CallID: "X-Call", Caller: "X-Caller", Target: "X-Target", NotExecuted: "X-Not-Run", Limit: "X-Limit",
+	Deadline: "X-Left-Ms", CallID: "X-Call", Caller: "X-Caller", Target: "X-Target", NotExecuted: "X-Not-Run", Limit: "X-Limit", Leaving: "X-Leaving",
 	RefusalStatus: http.StatusServiceUnavailable, DeadlineCoversAnswer: true, FractionalRetryAfter: true,
 }
 
--- a/internal/serverstate/serverstate.go
+++ b/internal/serverstate/serverstate.go
@@ -98,6 +98,18 @@
 	return c, nil
 }
 
+// MarkLeaving records that the start with an instance id has said in an answer
+// that it shuts down. It returns false if that is not the newest start or is known.
+func (t *Tracker) MarkLeaving(id string) (Change, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.newest.ID != id || t.newest.Leaving {
+		return Change{}, false
+	}
+	t.newest.Leaving = true
+	return Change{Report: t.newest, Changed: true}, true
+}
+
 // staleLocked reports whether a report is older than the newest one. The newest
 // report itself is not stale, since a server resends it when the answer was lost.
 func (t *Tracker) staleLocked(r Report) bool {
--- a/internal/serverstate/serverstate_test.go
+++ b/internal/serverstate/serverstate_test.go
@@ -106,3 +106,27 @@
 		assert.Assert(t, r.Validate(now) != nil, c.name)
 	}
 }
+
+// TestLeavingByAnswerIsFinal guards against a server that has said in an answer that
+// it shuts down and counts as serving again after its next report, and against a
+// later start that counts as leaving.
+func TestLeavingByAnswerIsFinal(t *testing.T) {
+	report := func(id string, startMs, sequence int64) Report {
+		return Report{ID: id, StartMs: startMs, Sequence: sequence, Service: "shop", Address: "a:1", Slots: 9}
+	}
+	tracker := NewTracker("shop", "a:1")
+	_, err := tracker.Accept(report("i-1", 1000, 1))
+	assert.NilError(t, err)
+	_, isNew := tracker.MarkLeaving("i-0")
+	assert.Assert(t, !isNew, "an answer of another start")
+	c, isNew := tracker.MarkLeaving("i-1")
+	assert.Assert(t, isNew && c.Changed && c.Report.Leaving)
+	_, isNew = tracker.MarkLeaving("i-1")
+	assert.Assert(t, !isNew, "known already")
+	c, err = tracker.Accept(report("i-1", 1000, 2))
+	assert.NilError(t, err)
+	assert.Assert(t, c.Report.Leaving && !c.Changed)
+	c, err = tracker.Accept(report("i-1", 2000, 1))
+	assert.NilError(t, err)
+	assert.Assert(t, c.Started && !c.Report.Leaving, "the same id, a later start")
+}
