Believe no refusal that may be the copy of an earlier one

Reported by other operators: a faulty backend server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for calls that a server had run.

--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -86,14 +86,15 @@
 
 // Matches reports whether an answer of a backend server belongs to the call.
 // A server may send a second answer late, in place of the next one; its id shows
-// that. Refusals may lack an id, since a server may send them before it reads the id.
+// that. Refusals may lack an id, since a server may send them before it reads the id;
+// on a connection that has served other calls such a refusal may be one of those.
 func (d *Dialect) Matches(in *http.Request, a *Answer) bool {
 	if d.CallID == "" {
 		return true
 	}
 	id := a.Header.Get(d.CallID)
 	if id == "" {
-		return d.ReportsNotRun(a)
+		return d.ReportsNotRun(a) && !a.Reused
 	}
 	return id == in.Header.Get(d.CallID)
 }
--- a/internal/proxy/transmission.go
+++ b/internal/proxy/transmission.go
@@ -63,7 +63,16 @@
 	*http.Response
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer
-	Deadline time.Time // deadline of the complete answer; zero sets none
+	conn     *trackedConn // nil if it is not known
+	Deadline time.Time    // deadline of the complete answer; zero sets none
+	Reused   bool         // the connection had served other calls before
+}
+
+// RetireConnection keeps the connection of the answer from serving further calls.
+func (a *Answer) RetireConnection() {
+	if a.conn != nil {
+		a.conn.retired.Store(true)
+	}
 }
 
 // Read implements io.Reader.
@@ -161,7 +170,7 @@
 		return
 	}
 	conn.beginExchange()
-	stale := x.maxIdle > 0 && info.IdleTime > x.maxIdle
+	stale := x.maxIdle > 0 && info.IdleTime > x.maxIdle || conn.retired.Load()
 	if info.Reused && (stale || !x.client.reusable(conn) || !conn.awaitRead()) {
 		conn.seal()
 	}
@@ -198,7 +207,11 @@
 		return nil, failure
 	}
 	timer.Reset(progressTimeout)
-	return &Answer{Response: resp, cancel: cancel, timer: timer}, nil
+	a := &Answer{Response: resp, cancel: cancel, timer: timer, conn: x.conn.Load()}
+	if info := x.info.Load(); info != nil {
+		a.Reused = info.Reused
+	}
+	return a, nil
 }
 
 func (c *Client) roundTripper(fresh bool) http.RoundTripper {
