Refuse calls that a stopping node would cut

Reported by other operators: in a planned stop, requests that came late in the grace were taken, passed on and cut without an answer. It could happen here within the first 2.8 s after the signal: a call taken at 2.7 s of a grace of 6 s was cut at 5.8 s if it lasted longer, also one that must not be repeated, whose caller then cannot know whether it ran. Later calls were not taken: the HTTP library closes their connection unanswered.

Change: from the signal on, a call that must not be repeated is refused as not run if its deadline is after the stop, another one if less than half of its time is left until then. Calls that end in time are served as before.

--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -111,7 +111,11 @@
 	case <-n.draining:
 	}
 	started := time.Now()
-	n.logger.Info("drain_started", "limit", n.settings.Drain.CallLimit(0))
+	limit := n.settings.Drain.CallLimit(0)
+	n.logger.Info("drain_started", "limit", limit)
+	if n.settings.Drain.StopWithin > 0 {
+		n.outbound.StopAt(started.Add(limit))
+	}
 	if n.platform.Source != nil && !wait.For(ctx, inboundDrainDelay) {
 		return nil
 	}
--- a/internal/proxy/outbound/proxy.go
+++ b/internal/proxy/outbound/proxy.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/admission"
@@ -40,8 +41,9 @@
 // Proxy takes calls from callers and sends them to the inbound proxy of a
 // backend server of their service.
 type Proxy struct {
-	cfg   Config
-	calls *proxy.CallCount
+	cfg    Config
+	calls  *proxy.CallCount
+	stopAt atomic.Pointer[time.Time] // see StopAt; nil before
 }
 
 // New returns a Proxy.
@@ -50,6 +52,11 @@
 	return &Proxy{cfg: cfg, calls: proxy.NewCallCount()}
 }
 
+// StopAt refuses, from now on, calls that may last beyond a time at which the node
+// stops and would cut them: one that must not be repeated if its deadline is later,
+// another one if less than half of its time is left.
+func (p *Proxy) StopAt(t time.Time) { p.stopAt.Store(&t) }
+
 // Wait waits until no call is in progress or the context ends.
 func (p *Proxy) Wait(ctx context.Context) error { return p.calls.Wait(ctx) }
 
@@ -128,6 +135,9 @@
 		started: now, deadline: now.Add(p.timeoutOf(r, route)), idempotent: route.IsIdempotent(r.Method),
 		body: proxy.NewBody(r, proxy.BodyLimit(p.cfg.Snapshots.Limits())),
 	}
+	if p.wouldBeCut(c) {
+		return nil, proxy.NotRun(http.StatusServiceUnavailable, proxy.ReasonDraining, "the node stops before the call would end").WithRetryAfter(notReadyRetryAfter)
+	}
 	if refusal := c.checkKey(now); refusal != nil {
 		return nil, refusal
 	}
@@ -138,6 +148,15 @@
 	return c, nil
 }
 
+// wouldBeCut reports whether the node may stop during a call.
+func (p *Proxy) wouldBeCut(c *call) bool {
+	stop := p.stopAt.Load()
+	if stop == nil || !c.deadline.After(*stop) {
+		return false
+	}
+	return !c.idempotent || stop.Sub(c.started) < c.deadline.Sub(c.started)/2
+}
+
 // timeoutOf returns the time limit of a call: that of the route or else of its
 // service, or the caller's if that is shorter.
 func (p *Proxy) timeoutOf(r *http.Request, route *snapshot.Route) time.Duration {
