--- a/internal/distribution/startsource.go
+++ b/internal/distribution/startsource.go
@@ -11,8 +11,9 @@
 
 const (
 	// sourceReadersPerDomain is how many members of a failure domain read the
-	// source at once when they start; the others first ask their peers. If every node of a restarted region read a full
-	// configuration, the link to the source would be saturated for seconds.
+	// source at once when they start; the others first ask their peers. If every
+	// node of a restarted region read a full configuration, the link to the source
+	// would be saturated for seconds.
 	sourceReadersPerDomain = 3
 	// peerStartTimeout is how long the other members wait to get the newest
 	// configuration from peers.
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -62,8 +62,8 @@
 }
 
 // TestSystemRecoversFromNodeFaults guards against wrong answers and outcomes, keys
-// that run twice, positions that decrease and revisions that are lost when processes are killed, frozen or
-// restarted without state (P1, P4, P5, P6, P9).
+// that run twice, positions that decrease and revisions that are lost when
+// processes are killed, frozen or restarted without state (P1, P4, P5, P6, P9).
 func TestSystemRecoversFromNodeFaults(t *testing.T) {
 	runFaultCases(t, []faultCase{
 		{"a node killed and restarted", func(s *system) {
