Bound the age of a proof and drop those of former members

TestProofAgesOnItsWay fails without the bound. Proofs of nodes that are no members any more are dropped with the entries.

--- a/internal/distribution/heartbeat.go
+++ b/internal/distribution/heartbeat.go
@@ -61,6 +61,7 @@
 		a.probeDeparted(ctx)
 		if now.Sub(compacted) >= compactInterval {
 			a.Table.Compact(now)
+			a.pruneProofs()
 			compacted = now
 		}
 	}
--- a/internal/distribution/proofs.go
+++ b/internal/distribution/proofs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -44,10 +45,12 @@
 // recordProof records a proof that another node passed on, unless the node has
 // seen it or a later one of its origin.
 func (a *Agent) recordProof(from string, p profile.Position, proof peer.Proof) {
-	if _, known := a.Table.Get(proof.Origin); !known || proof.Origin == a.Self.ID || proof.AgeMs < 0 {
+	_, known := a.Table.Get(proof.Origin)
+	age, ok := ageOf(proof.AgeMs)
+	if !known || !ok || proof.Origin == a.Self.ID {
 		return
 	}
-	at := time.Now().Add(-time.Duration(proof.AgeMs) * time.Millisecond)
+	at := time.Now().Add(-age)
 	a.peerProofs.Set(from, at)
 	unseen := false
 	a.seenProofs.Update(proof.Origin, func(last peer.Proof, ok bool) (peer.Proof, bool) {
@@ -90,6 +93,16 @@
 	}
 }
 
+// pruneProofs drops what is known of proofs of nodes that are no members any more.
+func (a *Agent) pruneProofs() {
+	members := map[string]bool{}
+	for _, m := range a.Table.All() {
+		members[m.ID] = true
+	}
+	a.seenProofs.DeleteFunc(func(id string, _ peer.Proof) bool { return !members[id] })
+	a.peerProofs.DeleteFunc(func(id string, _ time.Time) bool { return !members[id] })
+}
+
 // ConfigAge returns how long ago the node last knew that its configuration was
 // the newest one of the log or source. It returns false if it never knew.
 func (a *Agent) ConfigAge() (time.Duration, bool) {
@@ -103,9 +116,21 @@
 // recordSourceAge records the source age that a node reported with a position, in
 // the answer to a request sent at a time.
 func (a *Agent) recordSourceAge(p profile.Position, ageMs *int64, sent time.Time) {
-	if ageMs != nil && *ageMs >= 0 {
-		a.recordSourcePosition(p, sent.Add(-time.Duration(*ageMs)*time.Millisecond))
+	if ageMs == nil {
+		return
+	}
+	if age, ok := ageOf(*ageMs); ok {
+		a.recordSourcePosition(p, sent.Add(-age))
+	}
+}
+
+// ageOf converts an age that another node has sent. It returns false for one that
+// is negative or so high that it would overflow.
+func ageOf(ms int64) (time.Duration, bool) {
+	if ms < 0 || ms > math.MaxInt64/int64(time.Millisecond) {
+		return 0, false
 	}
+	return time.Duration(ms) * time.Millisecond, true
 }
 
 // sourceAge returns how long ago a position was the newest of the log or source,
--- a/internal/distribution/proofs_test.go
+++ b/internal/distribution/proofs_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +39,7 @@
 			{"a proof of this node", peer.Proof{Origin: a.Self.ID, Sequence: 9, AgeMs: 10}, 1010 * time.Millisecond},
 			{"a proof of an unknown node", peer.Proof{Origin: "other", Sequence: 9, AgeMs: 10}, 1010 * time.Millisecond},
 			{"a proof from the future", peer.Proof{Origin: "reader", Incarnation: 5, Sequence: 8, AgeMs: -10}, 1010 * time.Millisecond},
+			{"a proof whose age overflows", peer.Proof{Origin: "reader", Incarnation: 5, Sequence: 8, AgeMs: math.MaxInt64}, 1010 * time.Millisecond},
 			{"the next proof", peer.Proof{Origin: "reader", Incarnation: 5, Sequence: 8, AgeMs: 10}, 10 * time.Millisecond},
 		} {
 			a.recordProof("n2", held, c.proof)
@@ -46,5 +48,8 @@
 		at := a.newestSource.Load().at
 		a.recordSourceAge(held, new(int64), at.Add(-time.Second))
 		assert.Equal(t, age(), 10*time.Millisecond, "the time of a request that was sent earlier")
+		overflow := int64(math.MaxInt64)
+		a.recordSourceAge(held, &overflow, time.Now())
+		assert.Equal(t, age(), 10*time.Millisecond, "an age that overflows")
 	})
 }
