Log a named limit only when it changes by a tenth or more

A server that states a slightly different limit in each answer would have filled the log, whose lines are bounded, and driven out others. TestSmallChangesOfLimitAreNotReported fails without the rule.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -42,18 +42,19 @@
 	serviceTimes *ServiceTimes
 	waiting      chan struct{} // signals that a call was queued; capacity 1
 
-	mu       sync.Mutex
-	cfg      Config               // guarded by mu
-	queue    queue                // guarded by mu
-	inUse    [2][2]int            // slots in use by priority and class; guarded by mu
-	demand   demand               // guarded by mu
-	pressure pressure             // guarded by mu
-	shares   routeShares          // guarded by mu
-	running  map[*Ticket]struct{} // running background calls that were not preempted; guarded by mu
-	started  time.Time            // when the backend server started; guarded by mu
-	draining bool                 // guarded by mu
-	limit    rateLimit            // named by the backend server; guarded by mu
-	answered bool                 // the backend server has answered since the start of the node; guarded by mu
+	mu            sync.Mutex
+	cfg           Config               // guarded by mu
+	queue         queue                // guarded by mu
+	inUse         [2][2]int            // slots in use by priority and class; guarded by mu
+	demand        demand               // guarded by mu
+	pressure      pressure             // guarded by mu
+	shares        routeShares          // guarded by mu
+	running       map[*Ticket]struct{} // running background calls that were not preempted; guarded by mu
+	started       time.Time            // when the backend server started; guarded by mu
+	draining      bool                 // guarded by mu
+	limit         rateLimit            // named by the backend server; guarded by mu
+	reportedLimit float64              // last one that ObserveAnswer reported; guarded by mu
+	answered      bool                 // the backend server has answered since the start of the node; guarded by mu
 }
 
 // NewController returns a Controller with all slots free.
--- a/internal/admission/ratelimit.go
+++ b/internal/admission/ratelimit.go
@@ -126,22 +126,31 @@
 }
 
 // ObserveAnswer applies what an answer of the backend server, to a call sent at a
-// time, says of its limit. It reports whether the limit in force has changed.
+// time, says of its limit. It reports whether a limit has come into force or ended,
+// or differs by reportedChange or more from the one reported last.
 func (c *Controller) ObserveAnswer(now, sent time.Time, s StatedLimit) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	before := c.limitLocked()
 	c.answered = true
 	c.limit.observe(now, sent, s)
 	c.grantLocked(now)
-	return c.limitLocked() != before
+	limit := c.limitLocked()
+	if math.Abs(limit-c.reportedLimit) < reportedChange*c.reportedLimit || limit == c.reportedLimit {
+		return false
+	}
+	c.reportedLimit = limit
+	return true
 }
 
+// reportedChange is the share by which a limit must change to be reported, so that
+// a server which states another one in each answer does not fill the log.
+const reportedChange = 0.1
+
 // ForgetLimit drops the limit, after a start of the backend server.
 func (c *Controller) ForgetLimit() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limit = rateLimit{}
+	c.limit, c.reportedLimit = rateLimit{}, 0
 }
 
 // SpendResend reports whether a call may be sent to the backend server once more,
--- a/internal/admission/ratelimit_test.go
+++ b/internal/admission/ratelimit_test.go
@@ -237,3 +237,20 @@
 	assert.Equal(t, d.Verdict, Refused)
 	assert.Assert(t, d.RetryAfter >= 1400*ms && d.RetryAfter <= 2*time.Second, "%v for three calls at two a second", d.RetryAfter)
 }
+
+// TestSmallChangesOfLimitAreNotReported guards against a log line for each answer
+// of a server that states a slightly different limit every time.
+func TestSmallChangesOfLimitAreNotReported(t *testing.T) {
+	ctrl := NewController(Config{Slots: 9, Queue: 64})
+	for i, c := range []struct {
+		perSecond float64 // 0 for none
+		reported  bool
+	}{{20, true}, {20, false}, {21, false}, {21.9, false}, {22.5, true}, {5, true}, {0, true}, {0, false}} {
+		now := after(time.Duration(i) * 2 * time.Second)
+		stated := StatedLimit{Kind: LimitNamed, CallsPerSecond: c.perSecond}
+		if c.perSecond == 0 {
+			stated.Kind = LimitNone
+		}
+		assert.Equal(t, ctrl.ObserveAnswer(now, now.Add(-ms), stated), c.reported, "answer %d", i)
+	}
+}
