Take only a read of the store for a proof

A source that had read a configuration before the node held it returned it without asking the store, and the node took that for a proof that it is the newest. A configuration that the node refused could count as one, too. Now a check reads the store in any case, and only a read whose result the node holds is a proof. TestCheckReadsTheStore failed before (version 1 instead of 2).

--- a/internal/distribution/freshness.go
+++ b/internal/distribution/freshness.go
@@ -141,9 +141,9 @@
 	c.notBefore = c.lastRead.Add(c.percentOfBound(readerCheckPercent))
 }
 
-// retryDelay returns the delay after a failed check. It grows up to a value at
-// which all nodes together send failedChecksPerSecond, except on a node that no
-// other could tell of a successful check.
+// retryDelay returns the delay after a failed check. It is random up to a limit at
+// which all nodes together send about failedChecksPerSecond, but on a node that no
+// other could tell of a successful check up to the delay of a first check.
 func (c *freshnessChecker) retryDelay() time.Duration {
 	limit := c.percentOfBound(nodeCheckPercent)
 	if !c.isolated.Load() {
--- a/internal/distribution/source.go
+++ b/internal/distribution/source.go
@@ -16,7 +16,8 @@
 // a state machine nor checkpoints are needed.
 type Source interface {
 	// Next returns the newest configuration after a position. If there is
-	// none, it waits up to wait and then returns nil.
+	// none, it waits up to wait and then returns nil. With a wait of 0 it reads the
+	// source in any case, so that the result shows what is newest.
 	Next(ctx context.Context, after profile.Position, wait time.Duration) (*profile.Checkpoint, error)
 }
 
@@ -100,12 +101,17 @@
 	if err != nil {
 		return err
 	}
-	if c != nil {
-		a.replica.submit(ctx, update{full: &peer.FullState{Checkpoint: c}})
-		after, held = a.Position()
+	if c == nil {
+		if held {
+			a.recordSourcePosition(after, proofTime(sent, poll, true))
+		}
+		return nil
 	}
-	if held {
-		a.recordSourcePosition(after, proofTime(sent, poll, c == nil))
+	a.replica.submit(ctx, update{full: &peer.FullState{Checkpoint: c}})
+	newest := profile.Position{Epoch: c.Epoch, Offset: c.Through}
+	after, held = a.Position()
+	if held && after.Compare(newest) >= 0 && poll == 0 { // a poll may return what was read before
+		a.recordSourcePosition(newest, sent)
 	}
 	return nil
 }
