--- a/internal/distribution/freshness_test.go
+++ b/internal/distribution/freshness_test.go
@@ -83,6 +83,7 @@
 	} {
 		for _, after := range []time.Duration{0, time.Second, 3 * time.Second, 8 * time.Second} {
 			t.Run(c.name+" "+after.String()+" before the change", func(t *testing.T) {
+				t.Parallel()
 				inClusterWith(t, cluster.Config{Nodes: 12, ApplyWithin: applyWithin}, func(h *harness) {
 					time.Sleep(startPollsEnd)
 					lost := c.lost(h)
