Use a new connection only for a refused call that is sent again

Cause: the connection of every refusal was given up.

Change: the node remembers the ids of the calls that its server refused until their deadline, and sends such a call again on a new connection. A late copy of a refusal can only pass as the answer to a call with the same id, so the connection itself may go on. TestRepeatedRefusalIsNotBelieved holds as before.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -182,7 +182,6 @@
 	written       atomic.Int64 // bytes passed to Write, counted before they are written
 	exchangeStart atomic.Int64 // value of written when the current exchange began
 	sealed        atomic.Bool
-	retired       atomic.Bool // see Answer.RetireConnection
 
 	mu               sync.Mutex
 	readStateChanged *sync.Cond // on mu; signals that reading or closed was set
--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -108,7 +108,7 @@
 // and waits for the header of its answer.
 func (c *call) exchange() (*proxy.Answer, *proxy.SendError) {
 	c.proxy.budget.AddCall(c.proxy.cfg.Self, maxResendFraction, time.Now())
-	a, err := c.sendAndDetectCrash(false)
+	a, err := c.sendAndDetectCrash(c.wasRefused())
 	if err != nil && c.mayResend(err) && c.limitAllowsResend(err) {
 		firstSent := err.Sent
 		a, err = c.sendAndDetectCrash(true)
--- a/internal/proxy/inbound/proxy.go
+++ b/internal/proxy/inbound/proxy.go
@@ -14,6 +14,7 @@
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 	"github.com/goldcrestshed/goldcrestshed/internal/quarantine"
 	"github.com/goldcrestshed/goldcrestshed/internal/retry"
+	"github.com/goldcrestshed/goldcrestshed/internal/shard"
 )
 
 // Config holds the dependencies of a Proxy.
@@ -45,6 +46,10 @@
 	budget      *retry.Budgets              // of calls sent again on a new connection
 	serverState atomic.Pointer[ServerState] // nil until the backend server has reported
 	answerSizes *balance.CallSizes          // of the answers passed on
+	// refusedCalls holds the deadlines of the calls that the backend server refused,
+	// by id. Such a call is sent again only on a new connection: on another one a
+	// late copy of the refusal would pass as its answer.
+	refusedCalls *shard.Map[time.Time]
 }
 
 // New returns a Proxy.
@@ -56,7 +61,7 @@
 	if cfg.InboundAddressOf == nil {
 		cfg.InboundAddressOf = func(idempotency.Holder) (string, bool) { return "", false }
 	}
-	return &Proxy{cfg: cfg, calls: proxy.NewCallCount(), budget: retry.NewBudgets(), answerSizes: balance.NewCallSizes()}
+	return &Proxy{cfg: cfg, calls: proxy.NewCallCount(), budget: retry.NewBudgets(), answerSizes: balance.NewCallSizes(), refusedCalls: shard.NewMap[time.Time](shard.DefaultCount)}
 }
 
 // Drain refuses, from now on, every call that was not yet sent to the backend
@@ -66,8 +71,12 @@
 	p.cfg.Admission.Drain()
 }
 
-// Prune drops what is known of routes without a call in the given time.
-func (p *Proxy) Prune(now time.Time, unused time.Duration) { p.answerSizes.Prune(now, unused) }
+// Prune drops what is known of routes without a call in the given time, and of
+// refused calls whose deadline has passed.
+func (p *Proxy) Prune(now time.Time, unused time.Duration) {
+	p.answerSizes.Prune(now, unused)
+	p.refusedCalls.DeleteFunc(func(_ string, deadline time.Time) bool { return deadline.Before(now) })
+}
 
 // Wait waits until no call is in progress or the context ends.
 func (p *Proxy) Wait(ctx context.Context) error { return p.calls.Wait(ctx) }
@@ -133,6 +142,20 @@
 	return c
 }
 
+// callID returns the id that the caller gave the call, if the dialect has one.
+func (c *call) callID() string {
+	if c.proxy.cfg.Dialect.CallID == "" {
+		return ""
+	}
+	return c.r.Header.Get(c.proxy.cfg.Dialect.CallID)
+}
+
+// wasRefused reports whether the backend server has refused the call before.
+func (c *call) wasRefused() bool {
+	_, refused := c.proxy.refusedCalls.Get(c.callID())
+	return refused
+}
+
 // fail answers with a failure that this node generates.
 func (c *call) fail(f *proxy.Failure) {
 	c.earlyHints.Stop()
--- a/internal/proxy/inbound/serverstate.go
+++ b/internal/proxy/inbound/serverstate.go
@@ -121,9 +121,9 @@
 // shedFailure returns the refusal for a call that the backend server reports as
 // not run.
 func (c *call) shedFailure(a *proxy.Answer) *proxy.Failure {
-	// A copy of the refusal that comes late would pass as the answer to the same
-	// call, sent once more.
-	a.RetireConnection()
+	if id := c.callID(); id != "" {
+		c.proxy.refusedCalls.Set(id, c.deadline)
+	}
 	if a.StatusCode == http.StatusMisdirectedRequest {
 		c.proxy.ClearServerState()
 		return proxy.NotRun(http.StatusServiceUnavailable, proxy.ReasonNotReported, "the address belongs to another backend server").WithRetryAfter(notReportedRetryAfter)
--- a/internal/proxy/transmission.go
+++ b/internal/proxy/transmission.go
@@ -63,16 +63,8 @@
 	*http.Response
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer
-	conn     *trackedConn // nil if it is not known
-	Deadline time.Time    // deadline of the complete answer; zero sets none
-	Reused   bool         // the connection had served other calls before
-}
-
-// RetireConnection keeps the connection of the answer from serving further calls.
-func (a *Answer) RetireConnection() {
-	if a.conn != nil {
-		a.conn.retired.Store(true)
-	}
+	Deadline time.Time // deadline of the complete answer; zero sets none
+	Reused   bool      // the connection had served other calls before
 }
 
 // Read implements io.Reader.
@@ -170,7 +162,7 @@
 		return
 	}
 	conn.beginExchange()
-	stale := x.maxIdle > 0 && info.IdleTime > x.maxIdle || conn.retired.Load()
+	stale := x.maxIdle > 0 && info.IdleTime > x.maxIdle
 	if info.Reused && (stale || !x.client.reusable(conn) || !conn.awaitRead()) {
 		conn.seal()
 	}
@@ -207,7 +199,7 @@
 		return nil, failure
 	}
 	timer.Reset(progressTimeout)
-	a := &Answer{Response: resp, cancel: cancel, timer: timer, conn: x.conn.Load()}
+	a := &Answer{Response: resp, cancel: cancel, timer: timer}
 	if info := x.info.Load(); info != nil {
 		a.Reused = info.Reused
 	}
