Give answers without length an end that a closed connection cannot fake

Cause: an answer without length was passed on without length on both hops, so the close of any connection on its way was its end, and the kernel closes the connections of a killed process with FIN.

Change: such answers are sent with chunked coding, whose last chunk follows only the server's own end. HTTP/1.0 has none: while such an answer is written to a caller of HTTP/1.0, the connection has a linger time of 0, so that the kernel resets it if the process dies or stops.

Evidence, on the code before: TestClosedConnectionNeverEndsAnswer fails in 3 of 3 cases, TestStoppedServerNeverEndsAnswer in 2 of 2, TestKilledNodeLeavesNoCompleteAnswer (real processes) in 4 of 4 ("half an answer looks complete"), TestUnframedAnswerKeepsConnection gets 1 of 3 answers.

TestCloseDelimitedAnswer asked for an answer without chunked coding, since the last chunk would assert an end that the server did not send. TestUnframedAnswerEndsAsItsServerEndsIt replaces it: the whole body and a regular end, or an error after a reset, for HTTP/1.0 and HTTP/1.1.

--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -47,6 +47,7 @@
 	beganEarly   atomic.Bool               // an answer began before the end of the call's body
 	restDeadline atomic.Pointer[time.Time] // deadline for reading the rest of the body; set when the call has ended
 	closing      atomic.Bool
+	resetOnClose atomic.Bool // see setResetOnClose
 }
 
 // Phases of a connection, which determine what its next read deadline is for.
@@ -157,6 +158,20 @@
 	return nil
 }
 
+// setResetOnClose determines whether the connection is reset when it closes, also
+// when the kernel closes it because the process was killed. It is set while an
+// answer is written that the caller would take for complete at a regular close.
+func (c *callerConn) setResetOnClose(on bool) {
+	if c == nil || c.resetOnClose.Swap(on) == on {
+		return
+	}
+	linger := -1 // the default of the kernel
+	if on {
+		linger = 0
+	}
+	_ = c.SetLinger(linger) // fails on a closed connection only
+}
+
 // reset closes the connection with a TCP reset, so that the caller cannot take
 // the end of the connection for the end of an answer.
 func (c *callerConn) reset() {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -30,7 +30,7 @@
 // aborted.
 func Relay(w http.ResponseWriter, r *http.Request, a *Answer) (int64, error) {
 	rc := http.NewResponseController(w)
-	writeHeader(w, r, a)
+	writeHeader(w, a)
 	if r.Method == http.MethodHead || a.ContentLength == 0 {
 		return 0, finishEmpty(w, a)
 	}
@@ -39,15 +39,28 @@
 			return 0, err
 		}
 	}
+	conn := callerConnOf(r)
+	if endsWithConnection(r, a) {
+		conn.setResetOnClose(true)
+	}
 	n, err := copyBody(w, rc, a)
 	if err != nil {
 		return n, err
 	}
+	conn.setResetOnClose(false)
 	writeTrailer(w.Header(), a)
 	return n, nil
 }
 
-func writeHeader(w http.ResponseWriter, r *http.Request, a *Answer) {
+// endsWithConnection reports whether the end of the connection is the end of the
+// answer for the caller. HTTP/1.1 has chunked coding for an answer of unknown
+// length, so that a connection that closes early never completes it; HTTP/1.0 has
+// not.
+func endsWithConnection(r *http.Request, a *Answer) bool {
+	return a.ContentLength < 0 && !r.ProtoAtLeast(1, 1)
+}
+
+func writeHeader(w http.ResponseWriter, a *Answer) {
 	h := w.Header()
 	CopyEndToEnd(h, a.Header)
 	if _, ok := h["Content-Type"]; !ok {
@@ -56,19 +69,9 @@
 	for name := range a.Trailer {
 		h.Add("Trailer", name)
 	}
-	if closeDelimited(a) && r.ProtoMajor == 1 {
-		// Such a body may have been cut off, and chunked coding towards the
-		// caller would mark it as complete.
-		h.Set("Transfer-Encoding", "identity")
-	}
 	w.WriteHeader(a.StatusCode)
 }
 
-// closeDelimited reports whether the body ends with the connection.
-func closeDelimited(a *Answer) bool {
-	return a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Request.Method != http.MethodHead
-}
-
 // finishEmpty ends an exchange whose answer has no body.
 func finishEmpty(w http.ResponseWriter, a *Answer) error {
 	if _, err := a.Read(make([]byte, 1)); err != io.EOF {
