Compare the operator's path prefixes with the path as it was sent

Cause: the adapter copied the platform's prefix into the profile's field of the same shape, which compares whole segments of the decoded path without the final slash. The platform's prefix must begin the path.

Evidence: with pathMatch taken out of the adapter, TestRequestsMatchWholePrefix fails ("offers != browse: /browse/offers") and TestRoutingFollowsThePlatformsRule, a rule of ten lines against the product on generated routes and paths, fails after 7 cases. Both pass with it.

--- a/internal/profile/document.go
+++ b/internal/profile/document.go
@@ -29,7 +29,8 @@
 type Route struct {
 	Name       string         `json:"name" required:"true" doc:"name of the route, unique in the profile"`
 	Host       string         `json:"host,omitempty" doc:"host name without port; empty matches every host"`
-	PathPrefix string         `json:"pathPrefix,omitempty" default:"/" doc:"path prefix that a call must have, matched by whole segments"`
+	PathPrefix string         `json:"pathPrefix,omitempty" default:"/" doc:"path prefix that a call must have, compared as pathMatch says"`
+	PathMatch  string         `json:"pathMatch,omitempty" oneof:"segments|literal" doc:"how pathPrefix is compared; segments: whole segments of the decoded path, so that /a matches /a and /a/b but not /ab; literal: the characters of the path as sent, so that /a/ does not match /a; absent means segments"`
 	Methods    []string       `json:"methods,omitempty" doc:"HTTP methods; empty matches all"`
 	Service    string         `json:"service" required:"true" doc:"service that runs the calls"`
 	Timeout    jsonc.Duration `json:"timeout,omitempty" min:"0s" max:"1h" doc:"time limit until the first byte of the answer; 0s uses the policy's"`
@@ -42,6 +43,12 @@
 	Rank             int            `json:"rank,omitempty" min:"0" max:"100" doc:"importance of the route among those of its service; 0 is the most important"`
 }
 
+// Values of Route.PathMatch; an empty one means MatchSegments.
+const (
+	MatchSegments = "segments"
+	MatchLiteral  = "literal"
+)
+
 // Part is one of several services that share the calls of a route.
 type Part struct {
 	Service string `json:"service" required:"true" doc:"service that runs this share of the calls"`
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -111,6 +112,24 @@
 	return u, nil
 }
 
+// HostOf returns the host that a call names, in lower case and without port.
+func HostOf(in *http.Request) string { return NormalizeHost(in.Host) }
+
+// NormalizeHost returns a host in the form in which hosts of calls and of routes
+// are compared: in lower case and without port.
+func NormalizeHost(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
+
+// PathOf returns the path of a call as the caller sent it, without the query.
+func PathOf(in *http.Request) string {
+	path, _, _ := strings.Cut(originForm(in), "?")
+	return path
+}
+
 // originForm returns the request target without scheme and authority.
 func originForm(in *http.Request) string {
 	raw := in.RequestURI
--- a/internal/proxy/outbound/proxy.go
+++ b/internal/proxy/outbound/proxy.go
@@ -5,10 +5,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -94,7 +92,7 @@
 }
 
 func (p *Proxy) route(r *http.Request) (*snapshot.Route, *proxy.Failure) {
-	m := p.cfg.Snapshots.Lookup(hostOf(r), r.Method, r.URL.Path)
+	m := p.cfg.Snapshots.Lookup(proxy.HostOf(r), r.Method, proxy.PathOf(r))
 	switch {
 	case m.Generation == 0:
 		return nil, proxy.NotRun(http.StatusServiceUnavailable, proxy.ReasonNotReady, "the node has no configuration yet").WithRetryAfter(notReadyRetryAfter)
@@ -111,14 +109,6 @@
 // get its configuration.
 const notReadyRetryAfter = 300 * time.Millisecond
 
-func hostOf(r *http.Request) string {
-	host := r.Host
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	return strings.ToLower(host)
-}
-
 // newCall returns the call of a request, or the reason to refuse it.
 func (p *Proxy) newCall(w http.ResponseWriter, r *http.Request, route *snapshot.Route) (*call, *proxy.Failure) {
 	hops, _ := strconv.Atoi(r.Header.Get(proxy.HeaderHops))
--- a/internal/reference/reference.go
+++ b/internal/reference/reference.go
@@ -54,6 +54,7 @@
 	"routes[].name":                    `"browse"`,
 	"routes[].host":                    `"vitrine.example"`,
 	"routes[].pathPrefix":              `"/offers"`,
+	"routes[].pathMatch":               `"literal"`,
 	"routes[].methods[]":               `["GET", "HEAD"]`,
 	"routes[].service":                 `"vitrine"`,
 	"routes[].timeout":                 `"500ms"`,
--- a/internal/snapshot/cache.go
+++ b/internal/snapshot/cache.go
@@ -118,16 +118,18 @@
 	return profile.CallLimits{}
 }
 
-// Lookup finds the route of a call in the published snapshot. Routes with the
+// Lookup finds the route of a call in the published snapshot. path is the path as
+// the caller sent it, without the query. Routes with the
 // call's host take precedence over routes for every host, and longer path
 // prefixes over shorter ones.
 func (c *Cache) Lookup(host, method, path string) Match {
+	forms := newCallPath(path)
 	for {
 		generation := c.published.Load()
 		if generation == 0 {
 			return Match{}
 		}
-		if m, ok := c.lookupIn(generation, host, method, path); ok {
+		if m, ok := c.lookupIn(generation, host, method, forms); ok {
 			return m
 		}
 		// Install dropped this generation after it was read, or while it
@@ -138,7 +140,7 @@
 
 // lookupIn finds the route in one generation. It returns false if the generation
 // is no longer readable.
-func (c *Cache) lookupIn(generation uint64, host, method, path string) (Match, bool) {
+func (c *Cache) lookupIn(generation uint64, host, method string, path callPath) (Match, bool) {
 	m := Match{Generation: generation}
 	for _, key := range []string{host, anyHost} {
 		t := c.shards[shard.Index(key, len(c.shards))].get(generation)
@@ -156,7 +158,7 @@
 
 // find returns the match with the longest path prefix, including routes held
 // back, so that their calls do not match a shorter prefix of another service.
-func (t *routeTable) find(host, method, path string) (route *Route, heldBack bool) {
+func (t *routeTable) find(host, method string, path callPath) (route *Route, heldBack bool) {
 	route = firstMatch(t.routes[host], method, path)
 	held := firstMatch(t.heldBack[host], method, path)
 	if held != nil && (route == nil || len(held.PathPrefix) > len(route.PathPrefix)) {
@@ -165,9 +167,9 @@
 	return route, false
 }
 
-func firstMatch(routes []*Route, method, path string) *Route {
+func firstMatch(routes []*Route, method string, path callPath) *Route {
 	for _, r := range routes {
-		if r.Matches(method, path) {
+		if r.matches(method, path) {
 			return r
 		}
 	}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"strings"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/finding"
 	"github.com/goldcrestshed/goldcrestshed/internal/membership"
@@ -203,21 +202,6 @@
 	return found
 }
 
-// Matches reports whether a call matches the route's methods and path prefix.
-// The host is not compared.
-func (r *Route) Matches(method, path string) bool {
-	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
-		return false
-	}
-	return hasPathPrefix(path, r.PathPrefix)
-}
-
-// hasPathPrefix matches whole segments: /a matches /a and /a/b but not /ab.
-func hasPathPrefix(path, prefix string) bool {
-	prefix = strings.TrimSuffix(prefix, "/")
-	return path == prefix || strings.HasPrefix(path, prefix+"/")
-}
-
 // IsIdempotent reports whether a call of the given method may run more than once.
 func (r *Route) IsIdempotent(method string) bool {
 	if r.Idempotent != nil {
