Hold a restarted node's server reports until what was known is read

Cause: a starting node applied a report before it had read what was known of its server before. What it read then lost against the report's higher number, and changed neither the inbound proxy nor the node's entry. Its first announcement could replace the old entry unread.

A departure is the last word of its start whatever the numbers, and what is restored late still has its effect. The old entry is read before it is replaced.

--- a/internal/distribution/agent.go
+++ b/internal/distribution/agent.go
@@ -92,7 +92,9 @@
 	stop          context.CancelFunc
 	peersSearched chan struct{} // closed once the node has searched for peers
 	searchOnce    sync.Once
-	tableFetched  atomic.Bool                // a peer has sent its complete member table since the start
+	tableFetched  *event                     // a peer has sent its complete member table since the start
+	directoryRead *event                     // the directory was read since the start
+	recalled      *event                     // see Recalled
 	newestSource  atomic.Pointer[sourceView] // newest position of the log or source that the node knows of
 	verified      atomic.Pointer[sourceView] // when the node last knew that it held that position
 	ready         atomic.Bool
@@ -122,7 +124,7 @@
 		proofDue:      make(chan struct{}, 1),
 		outbox:        shard.NewMap[queuedChange](shard.DefaultCount),
 		transferSlots: make(chan struct{}, maxTransfers),
-		peersSearched: make(chan struct{}),
+		peersSearched: make(chan struct{}), tableFetched: newEvent(), directoryRead: newEvent(), recalled: newEvent(),
 		readyDone:     make(chan struct{}), checkpointLost: make(chan struct{}, 1),
 	}
 	a.StartSpread = cmp.Or(a.StartSpread, startSpread)
@@ -178,7 +180,7 @@
 func (a *Agent) loops() []func(context.Context) error {
 	loops := []func(context.Context) error{
 		a.replica.run, a.start, a.readMembers, a.announceSelf, a.maintainMembers, a.gossip,
-		a.announcePositions, a.pullChanges, a.build, a.checkFreshness, a.relayProofs,
+		a.announcePositions, a.pullChanges, a.build, a.checkFreshness, a.relayProofs, a.recall,
 	}
 	if a.Source != nil {
 		return append(loops, a.runSourceReader)
--- a/internal/distribution/announcements.go
+++ b/internal/distribution/announcements.go
@@ -45,8 +45,15 @@
 	}
 }
 
-// announceEntry announces the node's entry in the directory.
+// announceEntry announces the node's entry in the directory. Where the directory
+// keeps one entry of each node, that of before the node's start is read before it
+// is replaced: it may be the only record of the backend server's departure.
 func (a *Agent) announceEntry(ctx context.Context) error {
+	if a.Source != nil && !a.directoryRead.happened() {
+		if err := a.readPeers(ctx); err != nil {
+			return err
+		}
+	}
 	self := a.self()
 	err := a.Directory.Announce(ctx, self)
 	if err == nil {
--- a/internal/distribution/heartbeat.go
+++ b/internal/distribution/heartbeat.go
@@ -267,5 +267,6 @@
 		return false
 	}
 	a.merge(m.ID, table.Entries)
+	a.tableFetched.set()
 	return true
 }
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -97,12 +97,11 @@
 	if len(a.activePeers()) == 0 {
 		a.discoverPeers(ctx)
 	}
-	if a.tableFetched.Load() {
+	if a.tableFetched.happened() {
 		return
 	}
 	for _, m := range a.samplePeers(maxTableRequests) {
 		if a.fetchTable(ctx, m) {
-			a.tableFetched.Store(true)
 			return
 		}
 	}
@@ -127,6 +126,7 @@
 	members, _, err := a.Directory.Entries(ctx, 0, 0)
 	if err == nil {
 		a.merge("", members)
+		a.directoryRead.set()
 	}
 	return err
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,6 +77,9 @@
 	}
 	logClient := platformlog.NewClient(s.Log.Address, nil)
 	self := n.newSelfEntry()
+	if n.hasServerReports() {
+		n.tracker.Hold()
+	}
 	n.newAgent(logClient, self)
 	n.newCalls(logClient, self)
 	n.registerDumpSections()
@@ -157,6 +160,7 @@
 	var g run.Group
 	g.Add(func() error { return n.agent.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return n.runMetrics(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return n.releaseReports(ctx) }, func(error) { cancel() })
 	n.addCallLoops(ctx, &g)
 	n.addPeerServer(ctx, &g)
 	g.Add(func() error { return n.runDrain(ctx) }, func(error) { cancel() })
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -161,13 +161,41 @@
 	}
 }
 
-// restoreServerState restores the backend server's last report from the entry that
-// other nodes hold of this node from before its restart.
+// restoreServerState restores the backend server's last report from an entry that
+// the directory or another node holds of this node from before its restart.
 func (n *Node) restoreServerState(m membership.Member) {
 	if m.ServerStartNs == 0 {
 		return
 	}
-	n.tracker.Restore(lastReport(m))
+	n.serverStateMu.Lock()
+	defer n.serverStateMu.Unlock()
+	if change := n.tracker.Restore(lastReport(m)); change.Changed {
+		n.applyReportLocked(change)
+	}
+}
+
+// releaseReports gives the reports of the backend server their effect once the node
+// knows what was known of the server before the node's start.
+func (n *Node) releaseReports(ctx context.Context) error {
+	select {
+	case <-n.agent.Recalled():
+		if change := n.releaseHeldReports(); change.Changed {
+			n.announceReport(ctx, change)
+		}
+	case <-ctx.Done():
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (n *Node) releaseHeldReports() serverstate.Change {
+	n.serverStateMu.Lock()
+	defer n.serverStateMu.Unlock()
+	change := n.tracker.Release()
+	if change.Changed {
+		n.applyReportLocked(change)
+	}
+	return change
 }
 
 // addPlatformServers adds the HTTP servers of the platform's handler to the run
--- a/internal/serverstate/serverstate.go
+++ b/internal/serverstate/serverstate.go
@@ -60,6 +60,9 @@
 
 	mu     sync.Mutex
 	newest Report // guarded by mu; zero before the first report
+	held   bool   // guarded by mu; see Hold
+	// pending is the effect of the reports since Hold, or nil for none; guarded by mu.
+	pending *Change
 }
 
 // NewTracker returns a Tracker for the backend server of a service at an
@@ -68,6 +71,29 @@
 	return &Tracker{service: service, address: address}
 }
 
+// Hold makes reports of a server that takes calls have no effect until Release. A
+// node that has just started holds them until it knows what was known of its
+// server before: a report that is delivered late may be from before the server's
+// departure. That a server leaves has its effect at once.
+func (t *Tracker) Hold() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.held = true
+}
+
+// Release ends Hold and returns the effect of the reports since then.
+func (t *Tracker) Release() Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.held = false
+	if t.pending == nil {
+		return Change{}
+	}
+	c := *t.pending
+	t.pending = nil
+	return c
+}
+
 // Change is the effect of an accepted report.
 type Change struct {
 	Report  Report
@@ -95,7 +121,24 @@
 	}
 	c.Changed = c.Started || r.Leaving != t.newest.Leaving || r.Slots != t.newest.Slots
 	t.newest = r
-	return c, nil
+	return t.holdLocked(c), nil
+}
+
+// holdLocked keeps the effect of a report back while reports are held, unless the
+// server leaves.
+func (t *Tracker) holdLocked(c Change) Change {
+	if !t.held {
+		return c
+	}
+	if c.Report.Leaving {
+		t.pending = nil
+		return c
+	}
+	if c.Changed {
+		c.Started = c.Started || t.pending != nil && t.pending.Started
+		t.pending = &c
+	}
+	return Change{Report: c.Report}
 }
 
 // MarkLeaving records that the start with an instance id has said in an answer
@@ -136,12 +179,26 @@
 	return c, nil
 }
 
-// Restore sets the newest report from before a restart of the node, so that a
-// delayed report does not undo the departure of a server.
-func (t *Tracker) Restore(r Report) {
+// Restore adds what was known of the server before a restart of the node, and
+// returns the effect. Of two starts the later one counts. A departure is the last
+// word of its start, whatever the sequence numbers: a report that was sent before
+// it may arrive after the restart.
+func (t *Tracker) Restore(r Report) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.StartMs > t.newest.StartMs || r.StartMs == t.newest.StartMs && r.Sequence > t.newest.Sequence {
-		t.newest = Report{ID: r.ID, StartMs: r.StartMs, Sequence: r.Sequence, Leaving: r.Leaving}
+	switch {
+	case r.StartMs > t.newest.StartMs:
+		t.newest, t.pending = Report{ID: r.ID, StartMs: r.StartMs, Sequence: r.Sequence}, nil
+	case r.StartMs < t.newest.StartMs || r.ID != t.newest.ID:
+		return Change{}
+	}
+	t.newest.Sequence = max(t.newest.Sequence, r.Sequence)
+	if t.pending != nil {
+		t.pending.Started = false // this start is known from before
+	}
+	if !r.Leaving || t.newest.Leaving {
+		return Change{}
 	}
+	t.newest.Leaving, t.pending = true, nil
+	return Change{Report: t.newest, Changed: true}
 }
--- a/internal/serverstate/serverstate_test.go
+++ b/internal/serverstate/serverstate_test.go
@@ -130,3 +130,80 @@
 	assert.NilError(t, err)
 	assert.Assert(t, c.Started && !c.Report.Leaving, "the same id, a later start")
 }
+
+// TestDepartureIsTheLastWordOfItsStart guards against a restarted node that puts a
+// server which has left into use again, in whatever order a delayed report, what
+// was known before the restart, and later reports arrive.
+func TestDepartureIsTheLastWordOfItsStart(t *testing.T) {
+	departed := Report{ID: "i", StartMs: 5, Sequence: 4, Leaving: true}
+	restored := func(tr *Tracker) Change { return tr.Restore(departed) }
+	released := (*Tracker).Release
+	accept := func(r Report) func(*Tracker) Change {
+		return func(tr *Tracker) Change {
+			c, _ := tr.Accept(r) // a stale one has no effect
+			return c
+		}
+	}
+	for _, tt := range []struct {
+		name  string
+		steps []func(*Tracker) Change
+		inUse bool // the last effect of all puts a server into use
+	}{
+		{"a late report with a higher number first", []func(*Tracker) Change{accept(report(5, 9, false)), restored, released}, false},
+		{"with the same number", []func(*Tracker) Change{accept(report(5, 4, false)), restored, released}, false},
+		{"with a lower number", []func(*Tracker) Change{accept(report(5, 2, false)), restored, released}, false},
+		{"after what was known", []func(*Tracker) Change{restored, accept(report(5, 9, false)), released}, false},
+		{"after the release", []func(*Tracker) Change{restored, released, accept(report(5, 9, false))}, false},
+		{"before what was known, which comes too late", []func(*Tracker) Change{accept(report(5, 9, false)), released, restored}, false},
+		{"of the start before", []func(*Tracker) Change{accept(report(3, 99, false)), restored, released}, false},
+		{"a start under the same id since", []func(*Tracker) Change{accept(report(6, 1, false)), restored, released}, true},
+		{"a start since, after the late report", []func(*Tracker) Change{accept(report(5, 9, false)), accept(report(6, 1, false)), restored, released}, true},
+		{"a start since, before the late report", []func(*Tracker) Change{restored, accept(report(6, 1, false)), accept(report(5, 9, false)), released}, true},
+		{"a start since, late report after the release", []func(*Tracker) Change{restored, accept(report(6, 1, false)), released, accept(report(5, 9, false))}, true},
+		{"nothing was known", []func(*Tracker) Change{accept(report(5, 9, false)), released}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tracker := NewTracker("s", "a")
+			tracker.Hold()
+			inUse := false
+			for _, step := range tt.steps {
+				if c := step(tracker); c.Changed {
+					inUse = !c.Report.Leaving
+				}
+			}
+			assert.Equal(t, inUse, tt.inUse)
+		})
+	}
+}
+
+// TestHeldReports guards against a held report that is lost, that is applied before
+// the release, or that holds back the word of a server that leaves.
+func TestHeldReports(t *testing.T) {
+	tracker := NewTracker("s", "a")
+	tracker.Hold()
+	for sequence := range int64(3) {
+		c, err := tracker.Accept(report(1, 1+sequence, false))
+		assert.NilError(t, err)
+		assert.Assert(t, !c.Changed)
+	}
+	c := tracker.Release()
+	assert.Assert(t, c.Changed && c.Started && c.Report.Slots == 9)
+	assert.Assert(t, !tracker.Release().Changed)
+
+	tracker = NewTracker("s", "a")
+	tracker.Hold()
+	_, err := tracker.Accept(report(1, 1, false))
+	assert.NilError(t, err)
+	c, err = tracker.Accept(report(1, 2, true))
+	assert.NilError(t, err)
+	assert.Assert(t, c.Changed && c.Report.Leaving, "that a server leaves has its effect at once")
+	assert.Assert(t, !tracker.Release().Changed)
+
+	tracker = NewTracker("s", "a")
+	tracker.Hold()
+	tracker.Restore(Report{ID: "i", StartMs: 1, Sequence: 1})
+	_, err = tracker.Accept(report(1, 2, false))
+	assert.NilError(t, err)
+	c = tracker.Release()
+	assert.Assert(t, c.Changed && !c.Started, "the start is known from before")
+}
--- a/internal/telemetry/catalog.go
+++ b/internal/telemetry/catalog.go
@@ -96,6 +96,7 @@
 	{"outcomes_not_flushed", "warn", "outcomes of keyed calls could not be written before the shutdown; repeats of these calls get outcome unknown"},
 	{"source_unread", "warn", "a starting node could not read the platform's store; it tries its peers and the store again"},
 	{"http_library", "info", "a message of the HTTP library, for example about bytes from a backend server without a request"},
+	{"self_entry_unread", "warn", "a starting node could read neither the announcements nor another node's member table; its backend server's reports count as they come"},
 	{"source_lost", "warn", "a read of the platform's store failed; logged for the first of consecutive failures"},
 	{"source_regained", "info", "the platform's store answers again; field failures counts the reads that failed"},
 	{"readers_silent", "warn", "nothing has shown for some time that the node's configuration is the newest one; the node reads the log or store itself until it hears from a reader again; field config_age_ms"},
