Let member entries carry names as long as configurations allow

Change: the bound of an entry is 1,024 bytes too. Seen by reading; TestOddEntriesAreRefused still refuses 64 KiB.

--- a/internal/membership/validate.go
+++ b/internal/membership/validate.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// maxIDBytes bounds the length of names in an entry.
-	maxIDBytes = 256
+	// maxIDBytes bounds the length of names in an entry; the names of services may
+	// be as long in a configuration in force.
+	maxIDBytes = 1024
 	// maxSlots bounds the slots of one backend server.
 	maxSlots = 1 << 16
 	// maxClockAhead is how far an incarnation, which is a start time, may lie in
