Drop only the server state that a 421 is about

Cause: the inbound proxy dropped whatever state it had when a 421 arrived, also that of a start of the server that had reported after the call was sent; and the next report of the same start, equal to the one before, did not restore it, so that the server got no calls.

Change: a 421 drops only the state with which its call was sent, and the next report of that start counts as a change.

Evidence: without the comparison TestLateMisdirectedAnswer fails ("the state of the new start is dropped"). TestExpectedReportIsAChange guards the second part, which needs the new method.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -88,7 +88,7 @@
 		HopConfig: hop,
 		Self:      self.ID, Address: n.settings.BackendServer.Address, Backend: c.backendClient, Peers: c.nodeClient,
 		Admission: c.admission, Coordinator: c.coordinator, InFlight: quarantine.NewInFlight(), InboundAddressOf: n.inboundAddressOf, Reported: n.hasServerReports(),
-		OnServerLeaving: n.markServerLeaving,
+		OnServerLeaving: n.markServerLeaving, OnServerReplaced: n.tracker.ExpectReport,
 	})
 }
 
--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -132,6 +132,7 @@
 		return nil, &proxy.SendError{Cause: errors.Mark(errors.New("the call's deadline has passed"), errExpired)}
 	}
 	server := c.proxy.serverState.Load()
+	c.sentState = server
 	sent := time.Now()
 	a, err := c.send(fresh)
 	if err == nil && !c.proxy.cfg.Dialect.Matches(c.r, a) {
--- a/internal/proxy/inbound/proxy.go
+++ b/internal/proxy/inbound/proxy.go
@@ -33,6 +33,10 @@
 	// backend server with an instance id has said in an answer that it shuts down;
 	// it must not block. May be nil.
 	OnServerLeaving func(instance string)
+	// OnServerReplaced is called after the start of the backend server with an
+	// instance id turned out to run at its address no more; it must not block. May be
+	// nil.
+	OnServerReplaced func(instance string)
 	// InboundAddressOf returns the address of a live holder's inbound proxy.
 	InboundAddressOf func(idempotency.Holder) (string, bool)
 }
@@ -58,6 +62,9 @@
 	if cfg.OnServerLeaving == nil {
 		cfg.OnServerLeaving = func(string) {}
 	}
+	if cfg.OnServerReplaced == nil {
+		cfg.OnServerReplaced = func(string) {}
+	}
 	if cfg.InboundAddressOf == nil {
 		cfg.InboundAddressOf = func(idempotency.Holder) (string, bool) { return "", false }
 	}
@@ -118,6 +125,7 @@
 	earlyHints        *proxy.EarlyHints
 	fingerprint       quarantine.Fingerprint
 	quarantineUpdates []quarantine.Entry // quarantine entries to send with the answer
+	sentState         *ServerState       // of the backend server when the call was last sent
 
 	key      idempotency.Key // of a call that must run at most once
 	reclaims int             // claims made after a holder released its own
--- a/internal/proxy/inbound/serverstate.go
+++ b/internal/proxy/inbound/serverstate.go
@@ -50,12 +50,15 @@
 	p.cfg.OnServerLeaving(server.Instance)
 }
 
-// ClearServerState forgets the reported state, after the address of the backend
-// server turned out to belong to another server. With Config.Reported set, calls
-// are refused until the next report.
-func (p *Proxy) ClearServerState() {
-	p.serverState.Store(nil)
+// clearServerState forgets a reported state, after the address of the backend server
+// turned out to belong to another one, unless another state has been reported since.
+// With Config.Reported set, calls are refused until the next report.
+func (p *Proxy) clearServerState(state *ServerState) {
+	if state == nil || !p.serverState.CompareAndSwap(state, nil) {
+		return
+	}
 	p.cfg.Admission.ForgetLimit()
+	p.cfg.OnServerReplaced(state.Instance)
 }
 
 // sendRefusal returns why no call may be passed to the backend server, or nil.
@@ -125,7 +128,7 @@
 		c.proxy.refusedCalls.Set(id, c.deadline)
 	}
 	if a.StatusCode == http.StatusMisdirectedRequest {
-		c.proxy.ClearServerState()
+		c.proxy.clearServerState(c.sentState)
 		return proxy.NotRun(http.StatusServiceUnavailable, proxy.ReasonNotReported, "the address belongs to another backend server").WithRetryAfter(notReportedRetryAfter)
 	}
 	after := proxy.RetryAfterOf(a.Header)
--- a/internal/proxy/inbound/serverstate_test.go
+++ b/internal/proxy/inbound/serverstate_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/admission"
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 )
 
@@ -46,3 +48,28 @@
 	assert.Equal(t, f.Outcome, proxy.OutcomeNotRun)
 	assert.Equal(t, f.Reason, proxy.ReasonDeadline)
 }
+
+// TestLateMisdirectedAnswer guards against a 421 of an earlier start of the backend
+// server that drops the state of the start that has reported since, and against a
+// dropped state of which the next report is not told.
+func TestLateMisdirectedAnswer(t *testing.T) {
+	var replaced []string
+	p := New(Config{
+		Reported: true, Admission: admission.NewController(admission.Config{Slots: 1}),
+		OnServerReplaced: func(instance string) { replaced = append(replaced, instance) },
+	})
+	misdirected := func(sent *ServerState) {
+		c := &call{proxy: p, sentState: sent}
+		f := c.shedFailure(&proxy.Answer{Response: &http.Response{StatusCode: http.StatusMisdirectedRequest}})
+		assert.Equal(t, f.Outcome, proxy.OutcomeNotRun)
+	}
+	p.SetServerState(ServerState{Instance: "i-1"})
+	first := p.serverState.Load()
+	p.SetServerState(ServerState{Instance: "i-2"})
+	misdirected(first)
+	assert.Assert(t, p.sendRefusal(time.Now()) == nil, "the state of the new start is dropped")
+	assert.Equal(t, len(replaced), 0)
+	misdirected(p.serverState.Load())
+	assert.Assert(t, p.sendRefusal(time.Now()) != nil, "calls go on to an address of another server")
+	assert.DeepEqual(t, replaced, []string{"i-2"})
+}
--- a/internal/serverstate/serverstate.go
+++ b/internal/serverstate/serverstate.go
@@ -58,9 +58,10 @@
 	service string
 	address string
 
-	mu     sync.Mutex
-	newest Report // guarded by mu; zero before the first report
-	held   bool   // guarded by mu; see Hold
+	mu       sync.Mutex
+	newest   Report // guarded by mu; zero before the first report
+	held     bool   // guarded by mu; see Hold
+	expected bool   // guarded by mu; see ExpectReport
 	// pending is the effect of the reports since Hold, or nil for none; guarded by mu.
 	pending *Change
 }
@@ -119,8 +120,8 @@
 	if !c.Started && t.newest.Leaving {
 		r.Leaving, c.Report.Leaving = true, true // Leaving is final until the next start
 	}
-	c.Changed = c.Started || r.Leaving != t.newest.Leaving || r.Slots != t.newest.Slots
-	t.newest = r
+	c.Changed = c.Started || t.expected || r.Leaving != t.newest.Leaving || r.Slots != t.newest.Slots
+	t.newest, t.expected = r, false
 	return t.holdLocked(c), nil
 }
 
@@ -153,6 +154,15 @@
 	return Change{Report: t.newest, Changed: true}, true
 }
 
+// ExpectReport makes the next report of the start with an instance id count as a
+// change, after the inbound proxy has dropped its state: a server at its address
+// said that it is another one.
+func (t *Tracker) ExpectReport(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expected = t.expected || t.newest.ID == id
+}
+
 // staleLocked reports whether a report is older than the newest one. The newest
 // report itself is not stale, since a server resends it when the answer was lost.
 func (t *Tracker) staleLocked(r Report) bool {
--- a/internal/serverstate/serverstate_test.go
+++ b/internal/serverstate/serverstate_test.go
@@ -207,3 +207,19 @@
 	c = tracker.Release()
 	assert.Assert(t, c.Changed && !c.Started, "the start is known from before")
 }
+
+// TestExpectedReportIsAChange guards against a server that answers 421 once by
+// mistake and whose equal reports never put it into use again.
+func TestExpectedReportIsAChange(t *testing.T) {
+	tracker := NewTracker("s", "a")
+	_, err := tracker.Accept(report(1, 1, false))
+	assert.NilError(t, err)
+	tracker.ExpectReport("other")
+	c, _ := tracker.Accept(report(1, 2, false))
+	assert.Assert(t, !c.Changed)
+	tracker.ExpectReport("i")
+	c, _ = tracker.Accept(report(1, 3, false))
+	assert.Assert(t, c.Changed && !c.Started)
+	c, _ = tracker.Accept(report(1, 4, false))
+	assert.Assert(t, !c.Changed)
+}
