Treat a status below 200 as no answer and free the slot after a panic

Cause: net/http's client accepts the statuses 000 to 099 and its server panics for them. The handler is recovered, but the call's slot was released on the regular ways out only.

Change: a status below 200 fails the exchange with outcome unknown, on both hops; the slot is also released in a deferred call.

Evidence: before, TestStatusBelowFinalIsNoAnswer gets 504 and a panic for 000, 042 and 099, and TestPanicFreesTheSlot finds one slot in use.

--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -22,11 +22,17 @@
 	ticket  *admission.Ticket
 	permit  *quarantine.Permit
 	started time.Time
+
+	released bool
 }
 
-// release frees the slot. ok reports whether the service time is a valid
+// release frees the slot; further calls do nothing. ok reports whether the service time is a valid
 // sample for the route.
 func (s *slot) release(ok bool) {
+	if s.released {
+		return
+	}
+	s.released = true
 	now := time.Now()
 	s.ticket.Release(now, now.Sub(s.started), ok)
 	s.permit.Release()
--- a/internal/proxy/inbound/keyed.go
+++ b/internal/proxy/inbound/keyed.go
@@ -94,6 +94,7 @@
 		c.releaseClaim(run, f)
 		return
 	}
+	defer s.release(false) // also when the handler panics
 	a, err := c.exchange()
 	if err != nil {
 		s.release(false)
--- a/internal/proxy/inbound/proxy.go
+++ b/internal/proxy/inbound/proxy.go
@@ -219,6 +219,7 @@
 		c.fail(f)
 		return
 	}
+	defer s.release(false) // also when the handler panics
 	a, err := c.exchange()
 	if err != nil {
 		s.release(false)
--- a/internal/proxy/transmission.go
+++ b/internal/proxy/transmission.go
@@ -185,9 +185,11 @@
 		return nil, &SendError{Cause: err}
 	}
 	resp, err := c.roundTripper(s.Fresh).RoundTrip(out)
-	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
+	if err == nil && resp.StatusCode < http.StatusOK {
+		// net/http returns 101, for which no call asks, and the statuses below 100,
+		// for which its server panics.
 		_ = resp.Body.Close()
-		err = errors.New("the backend server switched protocols without a request for it")
+		err = errors.Newf("status %03d is not that of a final answer", resp.StatusCode)
 	}
 	if err != nil {
 		failure := x.failure(err, context.Cause(ctx))
