Keep resends and retries of the two hops within one bound

Cause: the server's node resends up to 0.1 of the calls that it gets, on top of the 0.15 that the callers' nodes retry.

Change: it resends up to 0.04, so that both together stay below a fifth.

Evidence: TestRetriesOfBothHopsStayWithinOneBudget measures 0.264 of the calls before and passes after.

--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -176,8 +176,9 @@
 const idleWaitFraction = 1.0 / 3
 
 // maxResendFraction limits the fraction of calls that are sent again on a new
-// connection, so that a server that loses every call does not get each twice.
-const maxResendFraction = 0.1
+// connection. It is small, since these come on top of the retries of the callers'
+// nodes, within the same bound on all calls that are sent again.
+const maxResendFraction = 0.04
 
 func (c *call) spendResendBudget() bool {
 	return c.proxy.budget.Spend(c.proxy.cfg.Self, maxResendFraction, time.Now())
