--- a/internal/balance/stats.go
+++ b/internal/balance/stats.go
@@ -122,9 +122,9 @@
 	})
 }
 
-// MarkLeaving records that a start of a server has said that it shuts down. That
-// start gets no calls any more, also after its node has restarted and knows nothing
-// of this.
+// MarkLeaving records that a start of a server, as of snapshot.Endpoint, has said
+// that it shuts down. It gets no calls any more, even if its node restarts and
+// knows nothing of this.
 func (s *Stats) MarkLeaving(id string, start int64) {
 	s.update(id, func(v server, ok bool) (server, bool) {
 		v.leftStart = max(v.leftStart, start)
--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -18,16 +18,15 @@
 
 // slot holds what a call occupies while it runs on the backend server.
 type slot struct {
-	call    *call
-	ticket  *admission.Ticket
-	permit  *quarantine.Permit
-	started time.Time
-
+	call     *call
+	ticket   *admission.Ticket
+	permit   *quarantine.Permit
+	started  time.Time
 	released bool
 }
 
-// release frees the slot; further calls do nothing. ok reports whether the service time is a valid
-// sample for the route.
+// release frees the slot; further calls do nothing. ok reports whether the service
+// time is a valid sample for the route.
 func (s *slot) release(ok bool) {
 	if s.released {
 		return
