--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -30,6 +30,10 @@
 // aborted.
 func Relay(w http.ResponseWriter, r *http.Request, a *Answer) (int64, error) {
 	rc := http.NewResponseController(w)
+	conn := callerConnOf(r)
+	if endsWithConnection(r, a) {
+		conn.setResetOnClose(true)
+	}
 	writeHeader(w, a)
 	if r.Method == http.MethodHead || a.ContentLength == 0 {
 		return 0, finishEmpty(w, a)
@@ -39,10 +43,6 @@
 			return 0, err
 		}
 	}
-	conn := callerConnOf(r)
-	if endsWithConnection(r, a) {
-		conn.setResetOnClose(true)
-	}
 	n, err := copyBody(w, rc, a)
 	if err != nil {
 		return n, err
@@ -57,7 +57,7 @@
 // length, so that a connection that closes early never completes it; HTTP/1.0 has
 // not.
 func endsWithConnection(r *http.Request, a *Answer) bool {
-	return a.ContentLength < 0 && !r.ProtoAtLeast(1, 1)
+	return a.ContentLength < 0 && !r.ProtoAtLeast(1, 1) && r.Method != http.MethodHead
 }
 
 func writeHeader(w http.ResponseWriter, a *Answer) {
--- a/internal/serverstate/serverstate.go
+++ b/internal/serverstate/serverstate.go
@@ -86,13 +86,12 @@
 func (t *Tracker) Release() Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.held = false
-	if t.pending == nil {
+	pending := t.pending
+	t.held, t.pending = false, nil
+	if pending == nil || t.newest.Leaving {
 		return Change{}
 	}
-	c := *t.pending
-	t.pending = nil
-	return c
+	return Change{Report: t.newest, Started: pending.Started, Changed: true}
 }
 
 // Change is the effect of an accepted report.
--- a/internal/serverstate/serverstate_test.go
+++ b/internal/serverstate/serverstate_test.go
@@ -160,6 +160,9 @@
 		{"a start since, after the late report", []func(*Tracker) Change{accept(report(5, 9, false)), accept(report(6, 1, false)), restored, released}, true},
 		{"a start since, before the late report", []func(*Tracker) Change{restored, accept(report(6, 1, false)), accept(report(5, 9, false)), released}, true},
 		{"a start since, late report after the release", []func(*Tracker) Change{restored, accept(report(6, 1, false)), released, accept(report(5, 9, false))}, true},
+		{"a departure after a held report", []func(*Tracker) Change{accept(report(5, 3, false)), accept(Report{ID: "i", StartMs: 5, Leaving: true, Departure: true}), released}, false},
+		{"a departure between two held reports", []func(*Tracker) Change{accept(report(5, 3, false)), accept(Report{ID: "i", StartMs: 5, Leaving: true, Departure: true}), accept(report(5, 4, false)), released}, false},
+		{"a drain between two held reports", []func(*Tracker) Change{accept(report(5, 3, false)), accept(report(5, 4, true)), accept(report(5, 5, false)), released}, false},
 		{"nothing was known", []func(*Tracker) Change{accept(report(5, 9, false)), released}, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
