Derive the resends of a server's node from its service's retry budget

Change: the node tells its inbound proxy the retry budget of the policy; resends take at most a quarter of it, and at most the former 0.1.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -194,7 +194,7 @@
 // maintainCalls updates the admission policy, drives the timeouts of the
 // coordinator and drops unused state.
 func (n *Node) maintainCalls(now time.Time) {
-	n.updateAdmissionPolicy()
+	n.updatePolicy()
 	n.callPath.coordinator.Tick(now)
 	n.callPath.stats.Prune(now, unusedRetention)
 	n.callPath.budgets.Prune(now, unusedRetention)
@@ -204,15 +204,15 @@
 	n.inbound.Prune(now, unusedRetention)
 }
 
-// updateAdmissionPolicy sets the admission limits from the policy of the node's
-// service.
-func (n *Node) updateAdmissionPolicy() {
+// updatePolicy sets the limits that the policy of the node's service makes.
+func (n *Node) updatePolicy() {
 	snap := n.snapshots.Latest()
 	if snap == nil {
 		return
 	}
 	if svc := snap.Services[n.settings.Node.Service]; svc != nil {
 		n.callPath.admission.SetPolicy(admission.Policy{Queue: svc.Policy.Queue, LongShare: svc.Policy.LongShare})
+		n.inbound.SetRetryBudget(svc.Policy.RetryBudget)
 	}
 }
 
--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -112,7 +113,7 @@
 // exchange sends the call to the backend server, again if mayResend allows it,
 // and waits for the header of its answer.
 func (c *call) exchange() (*proxy.Answer, *proxy.SendError) {
-	c.proxy.budget.AddCall(c.proxy.cfg.Self, maxResendFraction, time.Now())
+	c.proxy.budget.AddCall(c.proxy.cfg.Self, c.proxy.maxResends(), time.Now())
 	a, err := c.sendAndDetectCrash(c.wasRefused())
 	if err != nil && c.mayResend(err) && c.limitAllowsResend(err) {
 		firstSent := err.Sent
@@ -175,12 +176,25 @@
 const idleWaitFraction = 1.0 / 3
 
 // maxResendFraction limits the fraction of calls that are sent again on a new
-// connection. It is small, since these come on top of the retries of the callers'
-// nodes, within the same bound on all calls that are sent again.
-const maxResendFraction = 0.04
+// connection, so that a server that loses every call does not get each twice.
+const maxResendFraction = 0.1
+
+// resendFractionOfBudget limits that fraction in relation to the service's retry
+// budget: resends come on top of the retries of the callers' nodes, which may use
+// that budget in full.
+const resendFractionOfBudget = 0.25
+
+// SetRetryBudget sets the retry budget of the service's policy, as a fraction of
+// its calls.
+func (p *Proxy) SetRetryBudget(fraction float64) {
+	p.resendFraction.Store(math.Float64bits(min(maxResendFraction, fraction*resendFractionOfBudget)))
+}
+
+// maxResends returns the fraction of calls that are sent again on a new connection.
+func (p *Proxy) maxResends() float64 { return math.Float64frombits(p.resendFraction.Load()) }
 
 func (c *call) spendResendBudget() bool {
-	return c.proxy.budget.Spend(c.proxy.cfg.Self, maxResendFraction, time.Now())
+	return c.proxy.budget.Spend(c.proxy.cfg.Self, c.proxy.maxResends(), time.Now())
 }
 
 func (c *call) send(fresh bool) (*proxy.Answer, *proxy.SendError) {
--- a/internal/proxy/inbound/proxy.go
+++ b/internal/proxy/inbound/proxy.go
@@ -46,10 +46,12 @@
 	cfg         Config
 	calls       *proxy.CallCount
 	draining    atomic.Bool
-	backendDown atomic.Bool                 // the backend server refused the last connection
-	budget      *retry.Budgets              // of calls sent again on a new connection
-	serverState atomic.Pointer[ServerState] // nil until the backend server has reported
-	answerSizes *balance.CallSizes          // of the answers passed on
+	backendDown atomic.Bool    // the backend server refused the last connection
+	budget      *retry.Budgets // of calls sent again on a new connection
+	// resendFraction is the largest fraction of such calls, as the bits of a float64.
+	resendFraction atomic.Uint64
+	serverState    atomic.Pointer[ServerState] // nil until the backend server has reported
+	answerSizes    *balance.CallSizes          // of the answers passed on
 	// refusedCalls holds the deadlines of the calls that the backend server refused,
 	// by id. Such a call is sent again only on a new connection: on another one a
 	// late copy of the refusal would pass as its answer.
@@ -68,7 +70,9 @@
 	if cfg.InboundAddressOf == nil {
 		cfg.InboundAddressOf = func(idempotency.Holder) (string, bool) { return "", false }
 	}
-	return &Proxy{cfg: cfg, calls: proxy.NewCallCount(), budget: retry.NewBudgets(), answerSizes: balance.NewCallSizes(), refusedCalls: shard.NewMap[time.Time](shard.DefaultCount)}
+	p := &Proxy{cfg: cfg, calls: proxy.NewCallCount(), budget: retry.NewBudgets(), answerSizes: balance.NewCallSizes(), refusedCalls: shard.NewMap[time.Time](shard.DefaultCount)}
+	p.SetRetryBudget(1) // until the policy is known
+	return p
 }
 
 // Drain refuses, from now on, every call that was not yet sent to the backend
