Report a refused resend as unknown when the first transmission may have run

Cause: after a lost answer the server's node sends a repeatable call again on a new connection. That the first transmission may have run was kept in the error of the second only, so that a refusal of the second by the server (full, or another instance id) or by the node itself (draining) was reported as the outcome of the call.

Change: the inbound proxy decides the outcome in one place, after the last transmission; keyed calls take the same way.

Evidence: TestRefusalAfterLostRunKeepsOutcomeUnknown got "not-run" in its three cases before and passes now. TestExpiredCallIsNotSent asserted that the error says "not sent"; it asserts the outcome not-run that follows from it.

--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -110,21 +110,37 @@
 	return proxy.NotRun(http.StatusServiceUnavailable, string(d.Reason), message).WithRetryAfter(d.RetryAfter)
 }
 
-// exchange sends the call to the backend server, again if mayResend allows it,
-// and waits for the header of its answer.
-func (c *call) exchange() (*proxy.Answer, *proxy.SendError) {
+// exchange sends the call to the backend server, again if mayResend allows it, and
+// waits for the header of its answer. It returns a failure when the server did not
+// answer or reports that it did not run the call.
+func (c *call) exchange() (*proxy.Answer, *proxy.Failure) {
 	c.proxy.budget.AddCall(c.proxy.cfg.Self, c.proxy.maxResends(), time.Now())
 	a, err := c.sendAndDetectCrash(c.wasRefused())
+	firstMayHaveRun := false
 	if err != nil && c.mayResend(err) && c.limitAllowsResend(err) {
-		firstSent := err.Sent
+		firstMayHaveRun = err.Sent
 		a, err = c.sendAndDetectCrash(true)
-		if err != nil {
-			err.Sent = err.Sent || firstSent // the first transmission may have run
-		}
 	}
 	c.earlyHints.Stop()
 	c.recordBackendState(err)
-	return a, err
+	f := c.exchangeFailure(a, err)
+	if f != nil && f.Outcome == proxy.OutcomeNotRun && firstMayHaveRun {
+		f = proxy.Unknown(http.StatusBadGateway, f.Reason, "an earlier transmission may have run and the resend was refused").WithRetryAfter(f.RetryAfter)
+	}
+	return a, f
+}
+
+// exchangeFailure returns the failure of the last transmission of a call, or nil when
+// the backend server has run the call and answered.
+func (c *call) exchangeFailure(a *proxy.Answer, err *proxy.SendError) *proxy.Failure {
+	switch {
+	case err != nil:
+		return c.failureOf(err)
+	case c.proxy.cfg.Dialect.ReportsNotRun(a):
+		a.Close()
+		return c.shedFailure(a)
+	}
+	return nil
 }
 
 // sendAndDetectCrash sends the call once and checks for a crash when the
--- a/internal/proxy/inbound/keyed.go
+++ b/internal/proxy/inbound/keyed.go
@@ -95,18 +95,13 @@
 		return
 	}
 	defer s.release(false) // also when the handler panics
-	a, err := c.exchange()
-	if err != nil {
+	a, f := c.exchange()
+	if f != nil {
 		s.release(false)
-		c.resolveFailure(run, err)
+		c.resolveFailure(run, f)
 		return
 	}
 	defer a.Close()
-	if c.proxy.cfg.Dialect.ReportsNotRun(a) {
-		s.release(false)
-		c.releaseClaim(run, c.shedFailure(a))
-		return
-	}
 	c.relayAndKeep(run, s, a)
 }
 
@@ -116,8 +111,7 @@
 	c.fail(f)
 }
 
-func (c *call) resolveFailure(run *idempotency.Run, err *proxy.SendError) {
-	f := c.failureOf(err)
+func (c *call) resolveFailure(run *idempotency.Run, f *proxy.Failure) {
 	if f.Outcome == proxy.OutcomeNotRun {
 		c.releaseClaim(run, f)
 		return
--- a/internal/proxy/inbound/proxy.go
+++ b/internal/proxy/inbound/proxy.go
@@ -224,18 +224,13 @@
 		return
 	}
 	defer s.release(false) // also when the handler panics
-	a, err := c.exchange()
-	if err != nil {
+	a, f := c.exchange()
+	if f != nil {
 		s.release(false)
-		c.fail(c.failureOf(err))
+		c.fail(f)
 		return
 	}
 	defer a.Close()
-	if c.proxy.cfg.Dialect.ReportsNotRun(a) {
-		s.release(false)
-		c.fail(c.shedFailure(a))
-		return
-	}
 	_, relayErr := c.relay(a)
 	s.release(relayErr == nil && a.StatusCode < http.StatusInternalServerError)
 	if relayErr != nil {
--- a/internal/proxy/inbound/serverstate_test.go
+++ b/internal/proxy/inbound/serverstate_test.go
@@ -42,9 +42,8 @@
 		proxy: p, ctx: t.Context(), r: httptest.NewRequest("POST", "/", nil), earlyHints: &proxy.EarlyHints{},
 		deadline: time.Now().Add(-time.Millisecond),
 	}
-	_, err := c.exchange()
-	assert.Assert(t, err != nil && !err.Sent)
-	f := c.failureOf(err)
+	_, f := c.exchange()
+	assert.Assert(t, f != nil)
 	assert.Equal(t, f.Outcome, proxy.OutcomeNotRun)
 	assert.Equal(t, f.Reason, proxy.ReasonDeadline)
 }
--- a/internal/proxy/path/refusal_test.go
+++ b/internal/proxy/path/refusal_test.go
@@ -8,10 +8,13 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/goldcrestshed/goldcrestshed/internal/proxy"
 	"github.com/goldcrestshed/goldcrestshed/internal/proxy/inbound"
+	"github.com/goldcrestshed/goldcrestshed/internal/snapshot"
 )
 
 // TestRepeatedRefusalIsNotBelieved guards against a backend server that writes an
@@ -64,3 +67,58 @@
 		})
 	}
 }
+
+// TestRefusalAfterLostRunKeepsOutcomeUnknown guards against a call that the backend
+// server ran, whose answer was lost with its connection, and that is reported as not
+// run because its resend was refused.
+func TestRefusalAfterLostRunKeepsOutcomeUnknown(t *testing.T) {
+	dialect := proxy.Dialect{NotExecuted: "X-Not-Run"}
+	for _, c := range []struct {
+		name   string
+		onLost func(tb *testbed)                      // when the answer is lost
+		resend func(w http.ResponseWriter) (ran bool) // of the backend server
+	}{
+		{"by the backend server", func(*testbed) {}, func(w http.ResponseWriter) bool {
+			w.Header().Set(dialect.NotExecuted, "full")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return false
+		}},
+		{"by a server with another instance id", func(*testbed) {}, func(w http.ResponseWriter) bool {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return false
+		}},
+		{"by its node, which drains", func(tb *testbed) { tb.nodes["a"].inbound.Drain() }, func(http.ResponseWriter) bool { return true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var arrivals, runs atomic.Int64
+				var tb *testbed
+				backend := func(id string, w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path != "/lose" {
+						answerWithID(id, w, r)
+						return
+					}
+					if arrivals.Add(1) > 1 {
+						if c.resend(w) {
+							runs.Add(1)
+						}
+						return
+					}
+					runs.Add(1)
+					c.onLost(tb)
+					abortAnswer(id, w, r)
+				}
+				var calls atomic.Int64
+				tb = newTestbed(t, "a", countCalls(&calls, backend), func(r *snapshot.Route) { r.Service.Policy.Retries = 0 },
+					configHooks{inbound: func(_ string, cfg *inbound.Config) { cfg.Dialect = dialect }})
+				for range 10 { // fills the budget for one resend
+					assert.Equal(t, tb.call("GET", "/", "", nil).status, http.StatusOK)
+				}
+				got := tb.call("GET", "/lose", "", nil)
+				assert.Equal(t, runs.Load(), int64(1))
+				assert.Equal(t, got.outcome, string(proxy.OutcomeUnknown), got.body)
+				assert.Equal(t, got.status, http.StatusBadGateway)
+			})
+		})
+	}
+}
