Bound the answers of the log that a node keeps

Cause: platformlog.Client had a time limit and no size limit, so that an answer without end fills the memory until the limit of 5 s.

Change: answers to reads end at 8 MB, to appends at 4 KiB, heads at 64 KiB. A read whose records exceed this is repeated with as many as always fit.

Evidence: before, TestEndlessLogAnswersKeepLittleMemory measures 268 MB kept for a read and for an append, all that the test sends; it allows a fifth of a node's 128 MB. TestLargeRecordsAreReadInParts guards the repeated read.

--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -40,6 +40,22 @@
 	Data   []byte `json:"data"`   // base64 on the wire
 }
 
+// Size limits of answers.
+const (
+	maxReadBytes   = 8 << 20
+	maxAppendBytes = 4 << 10
+	maxErrorBytes  = 512
+	maxHeadBytes   = 64 << 10
+	// maxWireRecordBytes is the size of the largest record in an answer: the data in
+	// base64 and its envelope.
+	maxWireRecordBytes = MaxRecordBytes*4/3 + 1<<10
+	// maxFittingRecords is how many records of any size fit into an answer to a read.
+	maxFittingRecords = maxReadBytes / maxWireRecordBytes
+)
+
+// errAnswerTooLarge marks an answer to a read that exceeds maxReadBytes.
+var errAnswerTooLarge = errors.New("the answer exceeds the size limit")
+
 // Client implements Log over HTTP, see section 7 of the design page for the
 // protocol.
 type Client struct {
@@ -55,7 +71,7 @@
 // is nil, the client uses its own.
 func NewClient(address string, transport http.RoundTripper) *Client {
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+		transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes}
 	}
 	return &Client{baseURL: "http://" + address, http: &http.Client{Transport: transport}}
 }
@@ -94,12 +110,12 @@
 func decodeAppend(resp *http.Response) (int64, error) {
 	if resp.StatusCode == http.StatusOK {
 		var out AppendResponse
-		if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxAppendBytes)).Decode(&out); err != nil {
 			return 0, errors.Mark(errors.Wrap(err, "append: decode response"), ErrUnknown)
 		}
 		return out.Offset, nil
 	}
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	err := errors.Newf("append: status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 	// Statuses below 500, and 503, mean that the service did not apply the record;
 	// any other server error may have occurred after it was applied.
@@ -113,10 +129,19 @@
 // read.
 const ReadTimeoutMargin = 5 * time.Second
 
-// Read implements Log.
+// Read implements Log. When the records exceed the size limit of an answer, it
+// reads fewer of them.
 func (c *Client) Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+ReadTimeoutMargin)
 	defer cancel()
+	b, err := c.readOnce(ctx, stream, from, max, wait)
+	if max > maxFittingRecords && errors.Is(err, errAnswerTooLarge) {
+		return c.readOnce(ctx, stream, from, maxFittingRecords, wait)
+	}
+	return b, err
+}
+
+func (c *Client) readOnce(ctx context.Context, stream string, from int64, max int, wait time.Duration) (Batch, error) {
 	url := fmt.Sprintf("%s/v1/streams/%s/records?from=%d&max=%d&waitMs=%s", c.baseURL, stream, from, max,
 		strconv.FormatInt(wait.Milliseconds(), 10))
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -138,7 +163,11 @@
 	default:
 		return Batch{}, errors.Mark(errors.Newf("read: status %d", resp.StatusCode), ErrUnavailable)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+	body := &io.LimitedReader{R: resp.Body, N: maxReadBytes}
+	if err := json.NewDecoder(body).Decode(&out); err != nil {
+		if body.N <= 0 {
+			err = errors.Mark(err, errAnswerTooLarge)
+		}
 		return Batch{}, errors.Mark(errors.Wrap(err, "read: decode response"), ErrUnavailable)
 	}
 	if resp.StatusCode != http.StatusOK {
