Register for signals before the settings are read

A reload during the start ends the process.

Cause: each loop that waits for a signal registered for it when it began to run, after the settings were read and the node was assembled; until then the default action of the signal holds. The same was true of SIGUSR1, and of SIGTERM between the first accepted call and the loop that drains.

Change: the process registers for all signals first. One that is told to stop before its node runs ends at once.

Evidence: TestSignalsDuringStart, which sends the signal while the process waits for its settings, gets "signal: hangup" before and passes now.

--- a/cmd/goldcrestd/main.go
+++ b/cmd/goldcrestd/main.go
@@ -8,9 +8,7 @@
 	"log"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
@@ -63,6 +61,7 @@
 }
 
 func runNode(ctx context.Context, file string) error {
+	signals := notifySignals()
 	s, err := settings.Load(file)
 	if err != nil {
 		return err
@@ -78,13 +77,16 @@
 	if err != nil {
 		return err
 	}
+	if signals.stopRequested() {
+		return nil
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g run.Group
 	g.Add(func() error { return n.Run(ctx) }, func(error) { cancel() })
-	g.Add(func() error { return dumpOnSignal(ctx, n) }, func(error) { cancel() })
-	g.Add(func() error { return stopOnSignal(ctx, n) }, func(error) { cancel() })
-	g.Add(func() error { return watchSettings(ctx, file, s, logger, level) }, func(error) { cancel() })
+	g.Add(func() error { return dumpOnSignal(ctx, signals.dump, n) }, func(error) { cancel() })
+	g.Add(func() error { return stopOnSignal(ctx, signals.stop, n) }, func(error) { cancel() })
+	g.Add(func() error { return watchSettings(ctx, signals.reload, file, s, logger, level) }, func(error) { cancel() })
 	return g.Run()
 }
 
@@ -112,44 +114,3 @@
 // limit of the Go runtime. The rest is for memory that the runtime does not
 // count, such as socket buffers.
 const softMemoryPercent = 60
-
-// errStopped reports that a second signal stopped the node before its drain was
-// complete.
-var errStopped = errors.New("stopped by a second signal")
-
-// stopOnSignal drains the node at the first SIGTERM or SIGINT and stops it at
-// the second.
-func stopOnSignal(ctx context.Context, n *node.Node) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	for _, action := range []func() error{
-		func() error { n.Drain(); return nil },
-		func() error { return errStopped },
-	} {
-		select {
-		case <-signals:
-		case <-ctx.Done():
-			return nil
-		}
-		if err := action(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// dumpOnSignal writes the state dump to standard error at every SIGUSR1.
-func dumpOnSignal(ctx context.Context, n *node.Node) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGUSR1)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-signals:
-			_ = n.WriteDump(os.Stderr)
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
--- a/cmd/goldcrestd/reload.go
+++ b/cmd/goldcrestd/reload.go
@@ -4,9 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/settings"
@@ -17,13 +15,10 @@
 // changed.
 const settingsPollInterval = 2 * time.Second
 
-// watchSettings reloads the settings on SIGHUP and when the file has changed.
+// watchSettings reloads the settings at every signal and when the file has changed.
 // The log level takes effect immediately. All other settings describe the
 // instance and its addresses and take effect at the next start.
-func watchSettings(ctx context.Context, file string, current settings.Settings, logger *slog.Logger, level *slog.LevelVar) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func watchSettings(ctx context.Context, signals <-chan os.Signal, file string, current settings.Settings, logger *slog.Logger, level *slog.LevelVar) error {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
 	lastModTime := fileModTime(file)
