Notice a caller that leaves behind a request with a body

Cause: net/http's server reads one byte during a call to notice the end of the connection, and stops watching when that byte belongs to the next request. The pipeline reads on in its place, but not from the first request with a body on.

Change: it does so during every call of an HTTP/1.1 connection. Calls do not run ahead behind a body, as before.

Evidence: TestDisconnectBehindRequestWithBody fails before ("not within 500ms: all are cancelled") with a known length and with chunks, and passes now, 3 runs each under the race detector.

--- a/internal/proxy/callerconn.go
+++ b/internal/proxy/callerconn.go
@@ -127,7 +127,7 @@
 	if c.pipeline == nil {
 		return c.TCPConn.Read(b)
 	}
-	return c.pipeline.read(b)
+	return c.pipeline.read(b, c.phase.Load() == phaseCall)
 }
 
 // SetReadDeadline implements net.Conn. net/http removes the deadline after it
--- a/internal/proxy/headscan.go
+++ b/internal/proxy/headscan.go
@@ -55,8 +55,8 @@
 // endsRequest reports whether the request ends with its head and leaves the
 // connection as it is.
 func (h *headScanner) endsRequest() bool {
-	if bytes.HasPrefix(h.bytes, []byte("PRI ")) {
-		return false // the connection preface of HTTP/2
+	if h.isHTTP2Preface() {
+		return false
 	}
 	return !h.anyHeader(func(name, _ []byte) bool {
 		for _, beyond := range headersBeyondHead {
@@ -68,6 +68,9 @@
 	})
 }
 
+// isHTTP2Preface reports whether the head is the connection preface of HTTP/2.
+func (h *headScanner) isHTTP2Preface() bool { return bytes.HasPrefix(h.bytes, []byte("PRI ")) }
+
 // plain reports whether the head has one host and no bytes or headers that need
 // the full checks of net/http's server.
 func (h *headScanner) plain() bool {
--- a/internal/proxy/path/pipeline_test.go
+++ b/internal/proxy/path/pipeline_test.go
@@ -141,6 +141,43 @@
 	eventually(t, freedWithin, "all are cancelled", func() bool { return running.Load() == 0 })
 }
 
+// TestDisconnectBehindRequestWithBody guards against pipelined calls that run after
+// their caller has disconnected, on a connection that has carried a body.
+func TestDisconnectBehindRequestWithBody(t *testing.T) {
+	const arrivalTime = 20 * time.Millisecond // of the calls that are sent while another one runs
+	const post = "POST /0 HTTP/1.1\r\nHost: " + testHost + "\r\n"
+	for _, c := range []struct{ name, post string }{
+		{"of a known length", post + "Content-Length: 4\r\n\r\nbody"},
+		{"in chunks", post + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var running, runs atomic.Int64
+			address := startPipelinedServer(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, err := io.Copy(io.Discard, r.Body)
+				assert.Check(t, err)
+				if r.Method == http.MethodPost {
+					return
+				}
+				runs.Add(1)
+				running.Add(1)
+				defer running.Add(-1)
+				<-r.Context().Done()
+			}), isGet)
+			conn, _ := dialCaller(t, address)
+			_, err := io.WriteString(conn, c.post+getRequest("/1"))
+			assert.NilError(t, err)
+			eventually(t, time.Second, "a call runs", func() bool { return running.Load() > 0 })
+			_, err = io.WriteString(conn, getRequest("/2")+getRequest("/3"))
+			assert.NilError(t, err)
+			time.Sleep(arrivalTime)
+			_ = conn.Close()
+			eventually(t, freedWithin, "all are cancelled", func() bool { return running.Load() == 0 })
+			time.Sleep(freedWithin)
+			assert.Equal(t, runs.Load(), int64(1))
+		})
+	}
+}
+
 // TestBrokenPipelinedAnswerIsNotComplete guards against an answer that ran ahead,
 // broke off and looks complete to the caller.
 func TestBrokenPipelinedAnswerIsNotComplete(t *testing.T) {
--- a/internal/proxy/pipeline.go
+++ b/internal/proxy/pipeline.go
@@ -37,7 +37,8 @@
 // answer is already there or under way, and answers keep the order of requests.
 //
 // This covers requests without a body. From the first request with a body on, or
-// one that changes the protocol, the bytes are passed on unchanged.
+// one that changes the protocol, the bytes are passed on unchanged. During a call,
+// they are still read, so that a caller that disconnects is noticed.
 type pipeline struct {
 	conn    net.Conn // for reading
 	server  *Server
@@ -48,6 +49,7 @@
 
 	// Used by reads only, of which there is one at a time.
 	passThrough bool
+	http2       bool        // net/http's server reads the connection as HTTP/2
 	head        headScanner // of the request that is being passed on
 	ahead       []byte      // bytes read and not passed on yet
 	started     int         // bytes of ahead whose calls have started
@@ -83,14 +85,15 @@
 	return len(conn.pipeline.calls) > 0
 }
 
-// read implements the Read of the connection.
-func (p *pipeline) read(b []byte) (int, error) {
+// read implements the Read of the connection. inCall reports whether a call has begun
+// and is not answered yet.
+func (p *pipeline) read(b []byte, inCall bool) (int, error) {
 	switch {
 	case p.failed != nil:
 		return 0, p.failed
-	case !p.passThrough && p.head.complete && len(b) == 1:
-		// net/http's server reads one byte during a call to notice that the
-		// caller has disconnected.
+	case inCall && !p.http2 && len(b) == 1:
+		// net/http's server reads one byte during a call, after its body, to notice
+		// that the caller has disconnected.
 		return 0, p.watch()
 	}
 	if n := p.passOnAhead(b); n > 0 {
@@ -139,7 +142,7 @@
 		return n
 	}
 	if !p.head.endsRequest() {
-		p.passThrough = true
+		p.passThrough, p.http2 = true, p.head.isHTTP2Preface()
 		return len(b)
 	}
 	p.stalled = false
@@ -198,7 +201,7 @@
 // startCalls starts the calls of the complete requests that were read and may run
 // ahead. The first one that may not stops this until it is passed on.
 func (p *pipeline) startCalls() {
-	for !p.stalled {
+	for !p.stalled && !p.passThrough {
 		var head headScanner
 		n := head.scan(p.ahead[p.started:])
 		if !head.complete {
