--- a/internal/reference/proofs_test.go
+++ b/internal/reference/proofs_test.go
@@ -14,7 +14,7 @@
 // packageDirs maps packages that are not directly in internal/ to their
 // directories.
 var packageDirs = map[string]string{
-	"ctl": "../../cmd/goldcrestctl", "inbound": "../proxy/inbound", "path": "../proxy/path",
+	"ctl": "../../cmd/goldcrestctl", "goldcrestd": "../../cmd/goldcrestd", "inbound": "../proxy/inbound", "path": "../proxy/path",
 	"platform": "../../platform", "soak": "../../platform/soak",
 }
 
