--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,6 +28,7 @@
 
 var scenarios = map[string]scenario{
 	"replayed-call": {nodes: 3, play: playReplayedCall},
+	"leaked-memory": {nodes: 6, play: playLeakedMemory},
 }
 
 func main() {
