--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 var scenarios = map[string]scenario{
 	"replayed-call": {nodes: 3, play: playReplayedCall},
 	"leaked-memory": {nodes: 6, play: playLeakedMemory},
+	"slow-poison":   {nodes: 4, play: playSlowPoison},
 }
 
 func main() {
