--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,7 @@
 	"replayed-call": {nodes: 3, play: playReplayedCall},
 	"leaked-memory": {nodes: 6, play: playLeakedMemory},
 	"slow-poison":   {nodes: 4, play: playSlowPoison},
+	"cut-upload":    {nodes: 3, play: playCutUpload},
 }
 
 func main() {
