--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -31,6 +31,7 @@
 	"leaked-memory": {nodes: 6, play: playLeakedMemory},
 	"slow-poison":   {nodes: 4, play: playSlowPoison},
 	"cut-upload":    {nodes: 3, play: playCutUpload},
+	"options":       {nodes: 2, play: playOptions},
 }
 
 func main() {
