--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -11,7 +11,7 @@
     exit 2
   fi
 done
-timeout -k 5 110 target/review-standin-2 -record "$here/record.txt" options
+timeout -k 5 110 target/review-standin-2 -record "$here/record.txt" forgotten-poison
 code=$?
 tail -n 2 "$here/record.txt"
 case $code in
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/goldcrestshed/goldcrestshed/platform/standin"
@@ -51,13 +52,14 @@
 
 // machine is one node as a process and the backend server beside it.
 type machine struct {
-	name                                                 string
+	name, store                                          string
 	calls, inbound, peer, admin, app, reports, readiness string
 	settings                                             string // file
 	process                                              *exec.Cmd
 	exited                                               chan struct{}
 	backend                                              *backend
-	stoppedOnPurpose                                     bool // its end is part of the case
+	startedAt                                            atomic.Pointer[time.Time] // of the process; nil while it is stopped
+	stoppedOnPurpose                                     bool                      // its end is part of the case
 }
 
 // fleet is a deployment on loopback addresses.
@@ -157,19 +159,26 @@
 	return nil, errors.New("no free ports")
 }
 
-// newMachine writes the settings of a node as the template of the deploy file gives
+// newMachine returns a machine, with settings as the template of the deploy file gives
 // them on a small site.
 func (f *fleet) newMachine(name, store string) (*machine, error) {
 	a, err := freeAddresses(7)
 	if err != nil {
 		return nil, err
 	}
-	m := &machine{name: name, calls: a[0], inbound: a[1], peer: a[2], admin: a[3], app: a[4], reports: a[5], readiness: a[6]}
+	m := &machine{name: name, store: store, calls: a[0], inbound: a[1], peer: a[2], admin: a[3], app: a[4], reports: a[5], readiness: a[6]}
+	m.settings = filepath.Join(f.dir, name+".json")
+	return m, m.writeSettings("2s")
+}
+
+// writeSettings writes the settings file. The spread of a start is longer when the
+// whole system starts for the first time.
+func (m *machine) writeSettings(startSpread string) error {
 	data, err := json.Marshal(map[string]any{
-		"node":          map[string]any{"id": name, "service": service, "region": "willamette", "failureDomain": "salem"},
+		"node":          map[string]any{"id": m.name, "service": service, "region": "willamette", "failureDomain": "salem"},
 		"listen":        map[string]any{"calls": m.calls, "guard": m.inbound, "peer": m.peer, "admin": m.admin},
 		"backendServer": map[string]any{"address": m.app},
-		"platform":      map[string]any{"store": store, "reports": m.reports, "readiness": m.readiness, "retryBudget": 0.15, "startSpread": "2s", "memoryLimitMB": 284, "descriptorLimit": 4100},
+		"platform":      map[string]any{"store": m.store, "reports": m.reports, "readiness": m.readiness, "retryBudget": 0.15, "startSpread": startSpread, "memoryLimitMB": 284, "descriptorLimit": 4100},
 		"network":       map[string]any{"linkMbps": 1000.0, "domainByteCost": "20ms", "regionByteCost": "30ms"},
 		"configuration": map[string]any{"applyWithin": "2s"},
 		"quotas":        map[string]any{},
@@ -178,10 +187,9 @@
 		"rollout":       map[string]any{},
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
-	m.settings = filepath.Join(f.dir, name+".json")
-	return m, os.WriteFile(m.settings, data, 0o600)
+	return os.WriteFile(m.settings, data, 0o600)
 }
 
 // startNode starts the process of a node with the command of the deploy file.
@@ -196,10 +204,13 @@
 	if err := m.process.Start(); err != nil {
 		return err
 	}
-	m.exited = make(chan struct{})
+	now := time.Now()
+	m.startedAt.Store(&now)
+	process, exited := m.process, make(chan struct{})
+	m.exited = exited
 	go func() {
-		_ = m.process.Wait()
-		close(m.exited)
+		_ = process.Wait()
+		close(exited)
 	}()
 	return nil
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -27,11 +27,11 @@
 }
 
 var scenarios = map[string]scenario{
-	"replayed-call": {nodes: 3, play: playReplayedCall},
-	"leaked-memory": {nodes: 6, play: playLeakedMemory},
-	"slow-poison":   {nodes: 4, play: playSlowPoison},
-	"cut-upload":    {nodes: 3, play: playCutUpload},
-	"options":       {nodes: 2, play: playOptions},
+	"replayed-call":    {nodes: 3, play: playReplayedCall},
+	"leaked-memory":    {nodes: 6, play: playLeakedMemory},
+	"slow-poison":      {nodes: 4, play: playSlowPoison},
+	"cut-upload":       {nodes: 3, play: playCutUpload},
+	"forgotten-poison": {nodes: 3, play: playForgottenPoison},
 }
 
 func main() {
