Refuse answers in whose head a line is not a header field

What callers saw: a backend server sent an answer in whose head the name of a field held a blank. With a blank before the colon of Content-Length or Transfer-Encoding the body was not the server's; a line that begins with a blank was passed on as part of the field before it.

Cause: net/http accepts blanks in names and drops such lines only when it writes them, and it joins lines that begin with a blank to the line before. A status line with two blanks before the status is accepted too, which hid from the meter of heads that an informational answer precedes the answer.

Change: the meter that follows the head of each answer, informational ones included, checks that each line begins with a token and a colon (RFC 9112, 5) and fails the read otherwise. The call ends as with a lost connection: 502, outcome unknown, with a message of its own.

Evidence: path.TestMalformedFieldIsNoAnswer sends 21 such lines in 7 places. TestMalformedFieldOnKeptConnection failed too. With the change all pass, as do internal/proxy and internal/node with -race. TestAnyFieldNameIsForwarded and TestMalformedTrailerIsNotForwarded pass before and after: valid names are passed on, and malformed lines of trailers never were.

Conclusion: the check reads the bytes before net/http interprets them, on both hops, so no interpretation of a malformed head reaches a caller.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -35,6 +35,7 @@
 	errSealed      = errors.New("connection is sealed against writes")
 	errUnsolicited = errors.New("answer arrived before its request was sent")
 	errNoMemory    = errors.New("no memory for the head of the answer")
+	errMalformed   = errors.New("the head of the answer is malformed")
 )
 
 // Dial opens a connection.
@@ -248,11 +249,11 @@
 	}
 }
 
-// takeHead follows the head of an answer in bytes that were read, and reports whether
-// there is memory for it.
-func (c *trackedConn) takeHead(b []byte) bool {
+// takeHead follows the head of an answer in bytes that were read. It fails when the
+// head is malformed or there is no memory for it.
+func (c *trackedConn) takeHead(b []byte) error {
 	if c.inBody.Load() {
-		return true
+		return nil
 	}
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
@@ -260,7 +261,13 @@
 	if c.head.complete && !c.head.interim {
 		c.inBody.Store(true)
 	}
-	return c.head.charge.TryGrow(c.head.cost())
+	switch {
+	case c.head.malformed:
+		return errMalformed
+	case !c.head.charge.TryGrow(c.head.cost()):
+		return errNoMemory
+	}
+	return nil
 }
 
 // awaitRead waits until net/http's Transport reads from a connection that it has
@@ -355,8 +362,10 @@
 	if n > 0 && c.written.Load() == c.exchangeStart.Load() {
 		return 0, errUnsolicited
 	}
-	if n > 0 && !c.takeHead(p[:n]) {
-		return 0, errNoMemory
+	if n > 0 {
+		if err := c.takeHead(p[:n]); err != nil {
+			return 0, err
+		}
 	}
 	if err == io.EOF {
 		if lost := c.lossBeforeEnd(); lost != nil {
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -35,6 +35,8 @@
 		return http.StatusServiceUnavailable, ReasonConnectFailed, "the backend server could not be reached"
 	case errors.Is(err, ErrMismatch):
 		return http.StatusBadGateway, ReasonConnectionCut, "the backend server sent an answer to another call"
+	case errors.Is(err, errMalformed):
+		return http.StatusBadGateway, ReasonConnectionCut, "the backend server sent a malformed answer"
 	}
 	return http.StatusBadGateway, ReasonConnectionCut, "the connection ended before the answer"
 }
