Refuse answers of HTTP/1.0 with a transfer coding

What callers saw: the chunks of such an answer, with their sizes, as its body and with status 200.

Cause: HTTP/1.0 has no transfer coding, so that the framing of such an answer is faulty (RFC 9112, 6.1). net/http deletes the header and reads the body as if it had not been sent, so that nothing shows this after the head was parsed.

Change: the check of heads notes the version and refuses the field in any other than HTTP/1.1. What concerns answers moves from headMeter to answerMeter, with a file of its own.

Conclusion: refused like other malformed heads, 502 with outcome unknown.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -206,8 +206,8 @@
 	lost    error      // guarded by writeMu; loss of the connection that a write reported
 
 	headMu sync.Mutex
-	head   headMeter // guarded by headMu; of the answer
-	serial int       // guarded by headMu; counts the exchanges
+	head   answerMeter // guarded by headMu
+	serial int         // guarded by headMu; counts the exchanges
 
 	mu               sync.Mutex
 	readStateChanged *sync.Cond // on mu; signals that reading or closed was set
@@ -228,7 +228,7 @@
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
 	c.serial++
-	c.head.reset(false)
+	c.head.reset()
 	c.inBody.Store(false)
 }
 
@@ -257,7 +257,7 @@
 	}
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
-	c.head.scanAnswer(b)
+	c.head.scan(b)
 	if c.head.complete && !c.head.interim {
 		c.inBody.Store(true)
 	}
--- a/internal/proxy/headmeter.go
+++ b/internal/proxy/headmeter.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/memory"
 )
@@ -48,20 +47,11 @@
 	complete bool // the head has ended
 	inexact  bool // bytes around the head were read together with others
 	off      bool // the connection is not HTTP/1
-	interim  bool // the head is that of an informational answer
-
-	// Of an answer.
-	inName    bool // the name of a field has begun
-	malformed bool // a line is not a header field
 }
 
 // http2Preface begins a connection of HTTP/2. What follows it are frames.
 const http2Preface = "PRI * HTTP/2.0\r\n\r\n"
 
-// statusAt is the position in a status line of the first digit of the status, which
-// is 1 for an informational answer.
-const statusAt = len("HTTP/1.1 ")
-
 // reset prepares for the next head and returns the charge for the last one. inexact
 // reports whether the beginning of the next head may have been read already.
 func (m *headMeter) reset(inexact bool) {
@@ -99,49 +89,4 @@
 	}
 }
 
-// scanAnswer is like scan for the head of an answer, which informational ones may
-// precede. Those are dropped as they come.
-func (m *headMeter) scanAnswer(b []byte) {
-	for _, c := range b {
-		if m.complete && m.interim {
-			m.complete, m.interim, m.bytes, m.lines, m.state = false, false, 0, 0, inLine
-		}
-		if m.complete {
-			return
-		}
-		if m.bytes == statusAt {
-			m.interim = c == '1'
-			m.malformed = m.malformed || c == ' ' // net/http would skip it
-		}
-		m.checkField(c)
-		m.step(c)
-	}
-}
-
-// checkField checks the name of a field and that the line begins with it (RFC 9112,
-// 5). net/http accepts names with blanks, so that it passes over a length or a coding,
-// and lines that begin with a blank, as part of the line before.
-func (m *headMeter) checkField(c byte) {
-	begins := m.state == atLineStart && c != '\r' && c != '\n'
-	m.inName = m.inName || begins
-	switch {
-	case m.state == afterReturn:
-		m.malformed = m.malformed || c != '\n'
-	case m.inName && c == ':' && !begins:
-		m.inName = false
-	case m.inName:
-		m.malformed = m.malformed || !isTokenByte(c)
-	}
-}
-
-// isTokenByte reports whether a byte may be part of the name of a field (RFC 9110,
-// 5.6.2).
-func isTokenByte(c byte) bool {
-	switch {
-	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
-		return true
-	}
-	return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
-}
-
 func (m *headMeter) cost() int64 { return headCost(m.lines, m.bytes) }
--- a/internal/proxy/path/malformedhead_test.go
+++ b/internal/proxy/path/malformedhead_test.go
@@ -95,6 +95,29 @@
 	})
 }
 
+// TestCodingOfEarlierVersionIsNoAnswer guards against an answer of HTTP/1.0 with a
+// transfer coding, whose coded bytes reach the caller as the body.
+func TestCodingOfEarlierVersionIsNoAnswer(t *testing.T) {
+	const chunks = "\r\n4\r\nbody\r\n0\r\n\r\n"
+	for answer, want := range map[string]int{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks:                                                         http.StatusBadGateway,
+		"HTTP/1.0 200 OK\r\nX-Sum: 7\r\ntransfer-ENCODING:chunked\r\n" + chunks:                                              http.StatusBadGateway,
+		"HTTP/1.0 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nbody":                                     http.StatusBadGateway,
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks:                         http.StatusBadGateway,
+		"HTTP/1.0 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks:                         http.StatusOK,
+		"HTTP/1.0 200 OK\r\nTransfer-Encodings: 1\r\nTransfer: 2\r\nX-Transfer-Encoding: 3\r\nContent-Length: 4\r\n\r\nbody": http.StatusOK,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks:                                                         http.StatusOK,
+	} {
+		t.Run(answer, func(t *testing.T) {
+			address := startPath(t, startScriptedBackend(t, func(c net.Conn, _ *bufio.Reader, _ *http.Request) { _, _ = io.WriteString(c, answer) }))
+			resp, body, err := sendRequest(t, newHTTPClient(t, false), newRequest(t, "POST", address, "/", nil))
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, want, "%q", body)
+			assert.Assert(t, want != http.StatusOK || body == "body", "%q", body)
+		})
+	}
+}
+
 // TestMalformedTrailerIsNotForwarded guards against a line of the trailers that is no
 // header field and reaches the caller.
 func TestMalformedTrailerIsNotForwarded(t *testing.T) {
