Take no status below 400 for the refusal of an append

On the product's own log such an append was reported as not applied and could be appended twice.

After any other status the outcome is unknown.

Conclusion: an answer that says nothing is treated like a lost one.

--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -117,14 +117,19 @@
 	}
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	err := errors.Newf("append: status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
-	// Statuses below 500, and 503, mean that the service did not apply the record;
-	// any other server error may have occurred after it was applied.
-	if resp.StatusCode < http.StatusInternalServerError || resp.StatusCode == http.StatusServiceUnavailable {
+	if isRefusal(resp.StatusCode) {
 		return 0, errors.Mark(err, ErrNotApplied)
 	}
 	return 0, errors.Mark(err, ErrUnknown)
 }
 
+// isRefusal reports whether a status says that the service did not apply the record.
+// Any other server error may have occurred after it was applied, and a status below
+// 400 is no refusal.
+func isRefusal(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
+}
+
 // ReadTimeoutMargin is added to the wait of a long poll for the timeout of the
 // read.
 const ReadTimeoutMargin = 5 * time.Second
--- a/internal/platformlog/client_test.go
+++ b/internal/platformlog/client_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
@@ -104,3 +105,26 @@
 		from += int64(len(b.Entries))
 	}
 }
+
+// TestStatusOfFailedAppend guards against a status that does not say so and is taken
+// for a refusal: the record would be appended twice.
+func TestStatusOfFailedAppend(t *testing.T) {
+	for status, want := range map[string]error{
+		"000": platformlog.ErrUnknown, "042": platformlog.ErrUnknown, "101": platformlog.ErrUnknown, "204": platformlog.ErrUnknown, "304": platformlog.ErrUnknown,
+		"400": platformlog.ErrNotApplied, "429": platformlog.ErrNotApplied, "499": platformlog.ErrNotApplied,
+		"500": platformlog.ErrUnknown, "503": platformlog.ErrNotApplied, "504": platformlog.ErrUnknown,
+	} {
+		t.Run(status, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				assert.Check(t, err)
+				defer conn.Close()
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+			}))
+			defer srv.Close()
+			c := platformlog.NewClient(srv.Listener.Addr().String(), nil)
+			_, err := c.Append(t.Context(), "config", []byte("x"))
+			assert.Assert(t, errors.Is(err, want), "%v", err)
+		})
+	}
+}
