Report a status below 200 of a node as an error

The other commands that ask a node read its answer with the same function.

Cause: only statuses from 300 on were errors, and net/http hands on those below 200.

Change: any status but 2xx is an error.

Evidence: ctl.TestStatusBelowSuccessIsAnError; 000, 042 and 101 failed before, the other four statuses as before.

Conclusion: nothing but a success is reported as one.

--- a/cmd/goldcrestctl/nodes.go
+++ b/cmd/goldcrestctl/nodes.go
@@ -227,7 +227,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read response from node")
 	}
-	if resp.StatusCode >= 300 {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, errors.Newf("node %s: status %d: %s", address, resp.StatusCode, strings.TrimSpace(string(body)))
 	}
 	return body, nil
