--- a/cmd/goldcrestctl/nodes_test.go
+++ b/cmd/goldcrestctl/nodes_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/goldcrestshed/goldcrestshed/internal/standin"
 )
 
 // TestStatusBelowSuccessIsAnError guards against an answer of a node whose status is
@@ -16,12 +17,7 @@
 func TestStatusBelowSuccessIsAnError(t *testing.T) {
 	for status, wantFailure := range map[string]bool{"000": true, "042": true, "101": true, "200": false, "202": false, "304": true, "503": true} {
 		t.Run(status, func(t *testing.T) {
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				assert.Check(t, err)
-				defer conn.Close()
-				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-			}))
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { standin.WriteStatus(w, status) }))
 			defer srv.Close()
 			var out, stderr bytes.Buffer
 			code := (&cli{}).execute([]string{"drain", strings.TrimPrefix(srv.URL, "http://")}, &out, &stderr)
--- a/internal/platformlog/client_test.go
+++ b/internal/platformlog/client_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/goldcrestshed/goldcrestshed/internal/platformlog"
+	"github.com/goldcrestshed/goldcrestshed/internal/standin"
 )
 
 // keptForAnswer bounds the live memory that an endless answer of the log may take, in
@@ -115,12 +116,7 @@
 		"500": platformlog.ErrUnknown, "503": platformlog.ErrNotApplied, "504": platformlog.ErrUnknown,
 	} {
 		t.Run(status, func(t *testing.T) {
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				assert.Check(t, err)
-				defer conn.Close()
-				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-			}))
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { standin.WriteStatus(w, status) }))
 			defer srv.Close()
 			c := platformlog.NewClient(srv.Listener.Addr().String(), nil)
 			_, err := c.Append(t.Context(), "config", []byte("x"))
